--- /dev/null
+++ b/crates/client/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder until the first module lands.
+fn main() {}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until the first module lands.
