Add the time line: hybrid logical clock and ring of events

Events of several entries are merged by stamp, so a stamp must respect cause and effect even when wall clocks disagree.

Texts are cut to 512 bytes, because the reason of a refused document can be as long as the document.

Events give the service and VM they are about, and there are new kinds for documents that conflict or that the platform serves although they are older than those in force.

--- a/crates/core/src/event/mod.rs
+++ b/crates/core/src/event/mod.rs
@@ -1,10 +1,34 @@
 //! The time line: events of all processes in an order that respects cause and effect.
+//!
+//! Each process keeps its latest events in a [`Ring`] of fixed size and stamps them with a hybrid
+//! logical [`Clock`]. Messages between processes carry stamps of the same clocks, so a merge of
+//! several time lines by stamp never shows an effect before its cause, even where wall clocks
+//! disagree. [`Timeline`] joins both for the workers.
+
+mod clock;
+mod ring;
+mod timeline;
 
 use std::fmt;
 
 use crate::name;
 
-/// A stamp of a hybrid logical clock: wall time, and a counter that orders stamps of the same millisecond.
+pub use self::clock::Clock;
+pub use self::clock::MAX_AHEAD;
+pub use self::ring::Record;
+pub use self::ring::Ring;
+pub use self::timeline::MAX_PAGE;
+pub use self::timeline::Timeline;
+
+/// Largest length in bytes of a text in an event. Texts come from refused documents, which have up
+/// to 1 MB.
+pub const MAX_TEXT: usize = 512;
+
+/// Marks the end of a text that was cut.
+const CUT: &str = "...";
+
+/// A stamp of a hybrid logical clock: wall time, and a counter that orders stamps of the same
+/// millisecond.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Stamp {
     /// Milliseconds since the Unix epoch.
@@ -26,10 +50,20 @@
     ConfigAccepted(u64),
     /// A configuration was refused.
     ConfigRefused(u64, String),
+    /// Two configurations have the same revision; the one with the higher digest counts.
+    ConfigConflict(u64),
+    /// The platform serves a configuration older than the one in force: the revision served and the
+    /// one in force.
+    ConfigStale(u64, u64),
     /// A VM list came into force.
     ListAccepted(u64),
     /// A VM list was refused.
     ListRefused(u64, String),
+    /// Two VM lists have the same version; the one with the higher digest counts.
+    ListConflict(u64),
+    /// The platform serves a VM list older than the one in force: the version served and the one in
+    /// force.
+    ListStale(u64, u64),
     /// The entry refuses new work, because it cannot know the intent.
     Fenced,
     /// The entry accepts work again.
@@ -65,8 +99,12 @@
             Self::Stopping => "stopping",
             Self::ConfigAccepted(..) => "config_accepted",
             Self::ConfigRefused(..) => "config_refused",
+            Self::ConfigConflict(..) => "config_conflict",
+            Self::ConfigStale(..) => "config_stale",
             Self::ListAccepted(..) => "list_accepted",
             Self::ListRefused(..) => "list_refused",
+            Self::ListConflict(..) => "list_conflict",
+            Self::ListStale(..) => "list_stale",
             Self::Fenced => "fenced",
             Self::Unfenced => "unfenced",
             Self::PeerSilent(..) => "peer_silent",
@@ -81,6 +119,43 @@
             Self::ClaimLost(..) => "claim_lost",
         }
     }
+
+    /// The service that the event is about, if any.
+    pub fn service(&self) -> Option<&name::Service> {
+        self.server().map(|(service, _)| service)
+    }
+
+    /// The VM that the event is about, if it is not the process's own.
+    pub fn vm(&self) -> Option<&name::Vm> {
+        match self {
+            Self::PeerSilent(peer) | Self::PeerHeard(peer) => Some(peer),
+            _ => self.server().map(|(_, server)| server),
+        }
+    }
+
+    fn server(&self) -> Option<(&name::Service, &name::Vm)> {
+        match self {
+            Self::Held(service, server)
+            | Self::Released(service, server)
+            | Self::Cold(service, server, _)
+            | Self::Warm(service, server)
+            | Self::Excluded(service, server, _)
+            | Self::Included(service, server)
+            | Self::Claimed(service, server)
+            | Self::ClaimLost(service, server) => Some((service, server)),
+            _ => None,
+        }
+    }
+
+    /// The event with its text cut to [`MAX_TEXT`] bytes.
+    pub fn bounded(self) -> Self {
+        match self {
+            Self::ConfigRefused(revision, why) => Self::ConfigRefused(revision, cut(why)),
+            Self::ListRefused(version, why) => Self::ListRefused(version, cut(why)),
+            Self::Excluded(service, server, why) => Self::Excluded(service, server, cut(why)),
+            other => other,
+        }
+    }
 }
 
 impl fmt::Display for Event {
@@ -93,8 +168,20 @@
             Self::ConfigRefused(revision, why) => {
                 write!(f, "configuration {revision} refused: {why}")
             }
+            Self::ConfigConflict(revision) => {
+                write!(f, "two configurations have revision {revision}; the higher digest counts")
+            }
+            Self::ConfigStale(served, in_force) => {
+                write!(f, "platform serves configuration {served}, older than {in_force} in force")
+            }
             Self::ListAccepted(version) => write!(f, "VM list {version} in force"),
             Self::ListRefused(version, why) => write!(f, "VM list {version} refused: {why}"),
+            Self::ListConflict(version) => {
+                write!(f, "two VM lists have version {version}; the higher digest counts")
+            }
+            Self::ListStale(served, in_force) => {
+                write!(f, "platform serves VM list {served}, older than {in_force} in force")
+            }
             Self::Fenced => write!(f, "fenced: neither the platform nor most peers are heard"),
             Self::Unfenced => write!(f, "no longer fenced"),
             Self::PeerSilent(peer) => write!(f, "heartbeats of {peer} are missing"),
@@ -120,3 +207,13 @@
         }
     }
 }
+
+/// Cuts a text to [`MAX_TEXT`] bytes, at a character boundary. A text that is short enough keeps
+/// its allocation.
+pub(crate) fn cut(text: String) -> String {
+    if text.len() <= MAX_TEXT {
+        return text;
+    }
+    let end = text.floor_char_boundary(MAX_TEXT - CUT.len());
+    format!("{}{CUT}", &text[..end])
+}
