--- /dev/null
+++ b/crates/core/src/flow/admit.rs
@@ -0,0 +1,84 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Route;
+use super::Router;
+use crate::config::Service;
+use crate::ledger::Entry;
+use crate::outcome::Refusal;
+use crate::port::Clock;
+use crate::port::Peer;
+use crate::port::Random;
+use crate::port::Upstream;
+use crate::request::Content;
+use crate::request::Id;
+use crate::request::Request;
+
+/// What a caller hands in.
+#[derive(Debug, Clone)]
+pub struct Submission {
+    /// Request id, if the caller gave one.
+    pub id: Option<Id>,
+    /// Name of the service.
+    pub service: Box<str>,
+    /// Time until the caller stops waiting, if it said so.
+    pub timeout: Option<Duration>,
+    /// Whether the request is idempotent, if the caller said so.
+    pub idempotent: Option<bool>,
+    /// What the server is to see.
+    pub content: Content,
+}
+
+/// A request that has been admitted.
+pub(super) struct Admission {
+    pub(super) entry: Entry,
+    pub(super) route: Arc<Route>,
+    pub(super) request: Request,
+}
+
+impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+    pub(super) fn admit(&self, submission: Submission) -> Result<Admission, Refusal> {
+        let now = self.clock.now();
+        self.tables.gate.admits(now)?;
+        let route = self.tables.routes().get(&submission.service).ok_or(Refusal::UnknownService)?;
+        let settings = route.settings();
+        let policy = &settings.policy;
+        if submission.content.body.len() as u64 > policy.body_limit {
+            return Err(Refusal::Invalid);
+        }
+        if !route.eligible() {
+            return Err(Refusal::NoServer);
+        }
+        let timeout = submission.timeout.unwrap_or(policy.timeout).min(policy.max_timeout);
+        if timeout.is_zero() {
+            return Err(Refusal::Deadline);
+        }
+        let idempotent =
+            submission.idempotent.unwrap_or_else(|| is_idempotent(settings, &submission.content));
+        let id = submission.id.unwrap_or_else(|| self.new_id());
+        let request = Request {
+            id,
+            service: route.pool().service().clone(),
+            deadline: now + timeout,
+            idempotent,
+            content: submission.content,
+        };
+        let entry =
+            self.tables.ledger.admit(&request.service, &request.id).ok_or(Refusal::Duplicate)?;
+        route.retries().lock().earn();
+        Ok(Admission { entry, route, request })
+    }
+
+    fn new_id(&self) -> Id {
+        let high = u128::from(self.random.below(u64::MAX));
+        let low = u128::from(self.random.below(u64::MAX));
+        Id::from_bits(high << 64 | low)
+    }
+}
+
+/// A request that nothing marks as idempotent is treated as non-idempotent.
+fn is_idempotent(settings: &Service, content: &Content) -> bool {
+    let by_method = settings.policy.idempotent_methods.contains(&content.method);
+    let by_path = settings.idempotent_paths.iter().any(|path| content.path.starts_with(&**path));
+    by_method || by_path
+}
--- /dev/null
+++ b/crates/core/src/flow/attempt.rs
@@ -0,0 +1,104 @@
+use std::time::Duration;
+
+use super::Route;
+use super::Router;
+use crate::outcome::Doubt;
+use crate::outcome::Evidence;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::pool::Kind;
+use crate::pool::Lead;
+use crate::pool::Permit;
+use crate::pool::Pool;
+use crate::pool::Sample;
+use crate::port::Clock;
+use crate::port::Peer;
+use crate::port::Random;
+use crate::port::Upstream;
+use crate::request::Attempt;
+
+/// First status code that says that the server failed.
+const SERVER_ERROR: u16 = 500;
+
+/// Shortest time until the end of a claim with which a request is sent to a server that is not warm.
+const MIN_WORK: Duration = Duration::from_millis(100);
+
+/// Gives a place back if the attempt is dropped before its end.
+struct Hold<'a, C: Clock> {
+    pool: &'a Pool,
+    clock: &'a C,
+    permit: Option<Permit>,
+}
+
+impl<C: Clock> Drop for Hold<'_, C> {
+    fn drop(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            self.pool.abandon(self.clock.now(), permit);
+        }
+    }
+}
+
+impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+    /// Sends an attempt to a held server.
+    pub(super) async fn dispatch(
+        &self,
+        route: &Route,
+        permit: Permit,
+        mut attempt: Attempt<'_>,
+    ) -> Evidence {
+        let pool = route.pool();
+        let now = self.clock.now();
+        if let Some(until) = permit.until() {
+            attempt.deadline = attempt.deadline.min(until);
+        }
+        if let Err(refusal) = self.recheck(&permit, &attempt) {
+            pool.put_back(permit);
+            return Evidence::NotRun(NotRun::Refused(refusal));
+        }
+        let address = permit.address();
+        let mut hold = Hold { pool, clock: &self.clock, permit: Some(permit) };
+        let reply = self.upstream.send(address, attempt).await;
+        let end = self.clock.now();
+        let sample =
+            Sample { kind: kind(&reply.evidence), latency: end.since(now), report: reply.report };
+        if let Some(permit) = hold.permit.take()
+            && let Some(notice) = pool.finish(end, permit, &sample)
+        {
+            route.notify(notice);
+        }
+        reply.evidence
+    }
+
+    /// Sends an attempt to a peer that reported room.
+    pub(super) async fn forward(&self, lead: &Lead, attempt: Attempt<'_>) -> Evidence {
+        let now = self.clock.now();
+        if let Err(refusal) = self.tables.gate.dispatches(now) {
+            return Evidence::NotRun(NotRun::Refused(refusal));
+        }
+        self.peer.forward(&lead.vm, lead.address, attempt).await
+    }
+
+    /// Checks again what a pause since the place was taken may have changed.
+    fn recheck(&self, permit: &Permit, attempt: &Attempt<'_>) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        self.tables.gate.dispatches(now)?;
+        if now >= attempt.request.deadline {
+            return Err(Refusal::Deadline);
+        }
+        match permit.until() {
+            Some(until) if now + MIN_WORK > until => Err(Refusal::Full),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn kind(evidence: &Evidence) -> Kind {
+    match evidence {
+        Evidence::Ran(answer) if answer.status >= SERVER_ERROR => Kind::Failed,
+        Evidence::Ran(_) => Kind::Answered,
+        Evidence::NotRun(NotRun::Shed) => Kind::Shed,
+        Evidence::NotRun(_) => Kind::NotSent,
+        Evidence::MayHaveRun(Doubt::Timeout) => Kind::Timeout,
+        Evidence::MayHaveRun(_) => Kind::Broken,
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/mod.rs
@@ -0,0 +1,157 @@
+//! The path of a request through an entry.
+//!
+//! [`Router::serve`] admits a request of a caller, finds a place for it (a held server with room, a
+//! peer that reports room, or a wait for either), sends one attempt at a time, and turns what the
+//! attempts prove into exactly one outcome. [`Router::serve_forwarded`] is the other end of a
+//! forward: it dispatches to a held server at once or refuses.
+//!
+//! A second attempt is sent only if the request is idempotent or all earlier attempts are proved not
+//! to have run. Every check that a pause of the process can invalidate is made again right before an
+//! attempt is sent.
+
+mod address;
+mod admit;
+mod attempt;
+mod place;
+mod retry;
+mod route;
+mod scout;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::gate::Gate;
+use crate::ledger::Ledger;
+use crate::lock::Mutex;
+use crate::lock::Rank;
+use crate::member::Peers;
+use crate::outcome::Evidence;
+use crate::outcome::NotRun;
+use crate::outcome::Outcome;
+use crate::outcome::Refusal;
+use crate::port::Clock;
+use crate::port::Peer;
+use crate::port::Random;
+use crate::port::Upstream;
+use crate::request::Attempt;
+use crate::request::Request;
+
+pub use self::address::Address;
+pub use self::address::Addresses;
+pub use self::admit::Submission;
+pub use self::route::Route;
+pub use self::route::Routes;
+
+/// What happened to a request besides its outcome, for metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Trace {
+    /// Attempts sent to servers or peers.
+    pub sent: u32,
+    /// Attempts sent to peers.
+    pub forwarded: u32,
+    /// Attempts after the first that counted against the retry budget.
+    pub retried: u32,
+    /// Time spent waiting for a place.
+    pub waited: Duration,
+    /// Time spent on attempts.
+    pub outside: Duration,
+}
+
+/// A request that has ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Served {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// What happened on the way.
+    pub trace: Trace,
+}
+
+/// The tables that the request path uses.
+#[derive(Debug)]
+pub struct Tables {
+    /// Whether new work is taken.
+    pub gate: Gate,
+    /// The other entries.
+    pub peers: Peers,
+    /// Requests in flight and their outcomes.
+    pub ledger: Arc<Ledger>,
+    routes: Mutex<Arc<Routes>>,
+}
+
+impl Tables {
+    /// Creates empty tables.
+    pub fn new(peers: Peers) -> Self {
+        Self {
+            gate: Gate::default(),
+            peers,
+            ledger: Arc::default(),
+            routes: Mutex::new(Rank::Intent, Arc::default()),
+        }
+    }
+
+    /// The services that requests can go to now.
+    pub fn routes(&self) -> Arc<Routes> {
+        self.routes.lock().clone()
+    }
+
+    /// Replaces the services that requests can go to.
+    pub fn set_routes(&self, routes: Arc<Routes>) {
+        *self.routes.lock() = routes;
+    }
+}
+
+/// Serves requests with the given ports.
+#[derive(Debug)]
+pub struct Router<C, R, U, P> {
+    tables: Arc<Tables>,
+    clock: C,
+    random: R,
+    upstream: U,
+    peer: P,
+}
+
+impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+    /// Creates a router.
+    pub fn new(tables: Arc<Tables>, clock: C, random: R, upstream: U, peer: P) -> Self {
+        Self { tables, clock, random, upstream, peer }
+    }
+
+    /// The tables.
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+
+    /// Serves a request of a caller. Dropping the future abandons the request.
+    pub async fn serve(&self, submission: Submission) -> Served {
+        let mut trace = Trace::default();
+        let outcome = match self.admit(submission) {
+            Ok(admission) => {
+                let outcome = self.run(&admission.route, &admission.request, &mut trace).await;
+                admission.entry.end(&outcome);
+                outcome
+            }
+            Err(refusal) => Outcome::Refused(refusal),
+        };
+        Served { outcome, trace }
+    }
+
+    /// Dispatches a forwarded attempt at once, or refuses it. Also returns the number of requests
+    /// of the service that could be dispatched after it.
+    pub async fn serve_forwarded(&self, request: &Request, number: u32) -> (Evidence, u32) {
+        let now = self.clock.now();
+        if let Err(refusal) = self.tables.gate.admits(now) {
+            return (Evidence::NotRun(NotRun::Refused(refusal)), 0);
+        }
+        let Some(route) = self.tables.routes().get(request.service.as_str()) else {
+            return (Evidence::NotRun(NotRun::Refused(Refusal::UnknownService)), 0);
+        };
+        let evidence = match route.pool().acquire(now, request.idempotent) {
+            Some(permit) => {
+                let attempt = Attempt { request, number, deadline: request.deadline };
+                self.dispatch(&route, permit, attempt).await
+            }
+            None => Evidence::NotRun(NotRun::Refused(Refusal::Full)),
+        };
+        (evidence, route.pool().room(self.clock.now()).free)
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/place.rs
@@ -0,0 +1,61 @@
+use std::time::Duration;
+
+use super::Route;
+use super::Router;
+use super::Trace;
+use crate::outcome::Refusal;
+use crate::pool::Place;
+use crate::port::Clock;
+use crate::port::Peer;
+use crate::port::Random;
+use crate::port::Upstream;
+use crate::request::Request;
+use crate::time::Instant;
+
+/// Forwards that peers may refuse for lack of room before the request only waits for a notice.
+const MAX_MISSES: u32 = 2;
+
+/// Share of the time left, as a divisor, that a waiting request is refused before its deadline, so
+/// that the caller gets the refusal and not its own timeout.
+const REFUSE_EARLY: u32 = 20;
+
+/// Longest time by which a request is refused before its deadline.
+const MAX_REFUSE_EARLY: Duration = Duration::from_millis(20);
+
+impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+    /// Finds a place for the next attempt, and waits for one if need be.
+    pub(super) async fn place(
+        &self,
+        route: &Route,
+        request: &Request,
+        misses: u32,
+        trace: &mut Trace,
+    ) -> Result<Place, Refusal> {
+        let now = self.clock.now();
+        if now >= request.deadline {
+            return Err(Refusal::Deadline);
+        }
+        if let Some(permit) = route.pool().acquire(now, request.idempotent) {
+            return Ok(Place::Local(permit));
+        }
+        if misses < MAX_MISSES
+            && let Some(lead) = self.tables.peers.lead(now, &request.service)
+        {
+            return Ok(Place::Remote(lead));
+        }
+        let place = self.wait(route, request, now).await;
+        trace.waited += self.clock.now().since(now);
+        place
+    }
+
+    async fn wait(&self, route: &Route, request: &Request, now: Instant) -> Result<Place, Refusal> {
+        let queue = route.settings().policy.queue;
+        let mut ticket = route.pool().wait(request.idempotent, queue).ok_or(Refusal::QueueFull)?;
+        let left = request.deadline.since(now);
+        let early = (left / REFUSE_EARLY).min(MAX_REFUSE_EARLY);
+        tokio::select! {
+            place = ticket.place() => place.ok_or(Refusal::NoServer),
+            () = self.clock.sleep_until(request.deadline.before(early)) => Err(Refusal::Deadline),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/retry.rs
@@ -0,0 +1,158 @@
+use std::time::Duration;
+
+use super::Route;
+use super::Router;
+use super::Trace;
+use crate::outcome::Doubt;
+use crate::outcome::Evidence;
+use crate::outcome::NotRun;
+use crate::outcome::Outcome;
+use crate::outcome::Refusal;
+use crate::pool::Place;
+use crate::port::Clock;
+use crate::port::Peer;
+use crate::port::Random;
+use crate::port::Upstream;
+use crate::request::Attempt;
+use crate::request::Request;
+use crate::time::Instant;
+
+/// Patience with an idempotent request that a peer dispatches, whose latency is not known here.
+const REMOTE_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Status codes of answers to idempotent requests that another server may do better on.
+const RETRYABLE: [u16; 4] = [500, 502, 503, 504];
+
+/// What the attempts so far prove, and how many more there may be.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Attempts that counted against the limit.
+    tries: u32,
+    /// Forwards that were refused for lack of room.
+    misses: u32,
+    /// Set once an attempt may have run; the request can then no longer be refused as not run.
+    doubt: Option<Doubt>,
+}
+
+impl Progress {
+    /// The outcome if no further attempt is made.
+    fn give_up(&self, refusal: Refusal) -> Outcome {
+        match self.doubt {
+            Some(doubt) => Outcome::Unknown(doubt),
+            None => Outcome::Refused(refusal),
+        }
+    }
+}
+
+impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+    /// Sends attempts until the request has an outcome.
+    pub(super) async fn run(&self, route: &Route, request: &Request, trace: &mut Trace) -> Outcome {
+        let mut progress = Progress::default();
+        loop {
+            let place = match self.place(route, request, progress.misses, trace).await {
+                Ok(place) => place,
+                Err(refusal) => return progress.give_up(refusal),
+            };
+            let evidence = self.attempt(route, request, place, &progress, trace).await;
+            if let Some(outcome) = self.judge(route, request, evidence, &mut progress, trace) {
+                return outcome;
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        route: &Route,
+        request: &Request,
+        place: Place,
+        progress: &Progress,
+        trace: &mut Trace,
+    ) -> Evidence {
+        trace.sent += 1;
+        let now = self.clock.now();
+        let patience = match &place {
+            Place::Local(permit) => permit.patience,
+            Place::Remote(_) => REMOTE_PATIENCE,
+        };
+        let deadline = match self.may_retry(route, request, progress) {
+            true => request.deadline.min(now + patience),
+            false => request.deadline,
+        };
+        let attempt = Attempt { request, number: trace.sent, deadline };
+        let evidence = match place {
+            Place::Local(permit) => self.dispatch(route, permit, attempt).await,
+            Place::Remote(lead) => {
+                trace.forwarded += 1;
+                self.forward(&lead, attempt).await
+            }
+        };
+        trace.outside += self.clock.now().since(now);
+        evidence
+    }
+
+    /// Whether an attempt that may have run can be followed by another one.
+    fn may_retry(&self, route: &Route, request: &Request, progress: &Progress) -> bool {
+        let left = progress.tries + 1 < route.settings().policy.attempts;
+        request.idempotent && left && route.retries().lock().available()
+    }
+
+    /// Turns what an attempt proves into an outcome, or `None` if another attempt may follow.
+    fn judge(
+        &self,
+        route: &Route,
+        request: &Request,
+        evidence: Evidence,
+        progress: &mut Progress,
+        trace: &mut Trace,
+    ) -> Option<Outcome> {
+        let now = self.clock.now();
+        match evidence {
+            Evidence::Ran(answer) => {
+                let better = request.idempotent && RETRYABLE.contains(&answer.status);
+                if better && self.retry(route, request, now, progress, trace) {
+                    progress.doubt = Some(Doubt::BadAnswer);
+                    return None;
+                }
+                Some(Outcome::Answered(answer))
+            }
+            Evidence::NotRun(NotRun::Refused(Refusal::Full)) => {
+                progress.misses += 1;
+                None
+            }
+            Evidence::NotRun(NotRun::Refused(refusal)) if refusal != Refusal::Leaving => {
+                Some(progress.give_up(refusal))
+            }
+            Evidence::NotRun(_) => {
+                if self.retry(route, request, now, progress, trace) {
+                    return None;
+                }
+                Some(progress.give_up(Refusal::Attempts))
+            }
+            Evidence::MayHaveRun(doubt) => {
+                progress.doubt = Some(doubt);
+                if request.idempotent && self.retry(route, request, now, progress, trace) {
+                    return None;
+                }
+                Some(Outcome::Unknown(doubt))
+            }
+        }
+    }
+
+    /// Takes a retry from the limits of the request and from the budget of the service.
+    fn retry(
+        &self,
+        route: &Route,
+        request: &Request,
+        now: Instant,
+        progress: &mut Progress,
+        trace: &mut Trace,
+    ) -> bool {
+        progress.tries += 1;
+        let left = progress.tries < route.settings().policy.attempts && now < request.deadline;
+        if !left || !route.retries().lock().spend() {
+            return false;
+        }
+        trace.retried += 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/flow/route.rs
@@ -0,0 +1,90 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::config::Service;
+use crate::lock::Mutex;
+use crate::lock::Rank;
+use crate::name;
+use crate::pool::Pool;
+use crate::retry::Budget;
+
+/// A service that requests can go to.
+#[derive(Debug)]
+pub struct Route {
+    settings: Service,
+    pool: Arc<Pool>,
+    retries: Arc<Mutex<Budget>>,
+    eligible: bool,
+}
+
+impl Route {
+    /// Creates a route. `eligible` says whether any server of the service may receive work,
+    /// whichever entry holds it. A route that replaces `previous` keeps its pool and its retries.
+    pub fn new(
+        name: &name::Service,
+        settings: &Service,
+        eligible: bool,
+        previous: Option<&Route>,
+    ) -> Self {
+        let policy = &settings.policy;
+        let budget = || Budget::new(policy.retry_permille, policy.retry_burst);
+        let retries = match previous {
+            Some(route) if route.same_budget(settings) => route.retries.clone(),
+            _ => Arc::new(Mutex::new(Rank::Ledger, budget())),
+        };
+        let pool = match previous {
+            Some(route) => route.pool.clone(),
+            None => Arc::new(Pool::new(name.clone())),
+        };
+        Self { settings: settings.clone(), pool, retries, eligible }
+    }
+
+    /// The service's values.
+    pub fn settings(&self) -> &Service {
+        &self.settings
+    }
+
+    /// The held servers and waiting requests.
+    pub fn pool(&self) -> &Arc<Pool> {
+        &self.pool
+    }
+
+    /// Whether any server of the service may receive work.
+    pub fn eligible(&self) -> bool {
+        self.eligible
+    }
+
+    /// The retry budget.
+    pub(super) fn retries(&self) -> &Mutex<Budget> {
+        &self.retries
+    }
+
+    fn same_budget(&self, settings: &Service) -> bool {
+        let (old, new) = (&self.settings.policy, &settings.policy);
+        old.retry_permille == new.retry_permille && old.retry_burst == new.retry_burst
+    }
+}
+
+/// The services that requests can go to.
+#[derive(Debug, Default)]
+pub struct Routes {
+    services: HashMap<name::Service, Arc<Route>>,
+}
+
+impl Routes {
+    /// The route of a service.
+    pub fn get(&self, service: &str) -> Option<Arc<Route>> {
+        self.services.get(service).cloned()
+    }
+
+    /// All routes.
+    pub fn iter(&self) -> impl Iterator<Item = (&name::Service, &Arc<Route>)> {
+        self.services.iter()
+    }
+}
+
+impl FromIterator<(name::Service, Arc<Route>)> for Routes {
+    fn from_iter<I: IntoIterator<Item = (name::Service, Arc<Route>)>>(routes: I) -> Self {
+        Self { services: routes.into_iter().collect() }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,9 @@
 
 pub mod config;
 pub mod event;
+pub mod flow;
+pub mod gate;
+pub mod ledger;
 pub mod lock;
 pub mod member;
 pub mod name;
--- a/crates/core/src/lock/mod.rs
+++ b/crates/core/src/lock/mod.rs
@@ -25,6 +25,8 @@
     Ledger = 5,
     /// The time line.
     Journal = 6,
+    /// Unused connections of an adapter.
+    Connections = 7,
 }
 
 thread_local! {
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -1,5 +1,231 @@
 //! The servers of one service that this entry holds, and the requests that wait for them.
+//!
+//! The entry that holds a server is the only one that sends to it, so the pool knows the number of
+//! requests in flight exactly and binds a request to a server only when that server has room. A
+//! request that finds no room waits here, not in a server's queue. When a place becomes free the
+//! oldest waiting request gets it; if none waits, one peer that asked for a vacancy is told.
+//!
+//! Each server has a [`Limit`] that follows what its answers show. A server below its full limit
+//! is used only under a confirmed claim, whose end also bounds the work given to it.
 
+mod limit;
 mod report;
+mod server;
+mod state;
+mod ticket;
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::lock::Mutex;
+use crate::lock::Rank;
+use crate::name;
+use crate::time::Instant;
+
+use self::state::State;
+use self::state::Waiter;
+
+pub use self::limit::Change;
+pub use self::limit::Kind;
+pub use self::limit::Limit;
+pub use self::limit::Sample;
+pub use self::limit::Tuning;
+pub use self::limit::Warmth;
 pub use self::report::Report;
+pub use self::server::Spec;
+pub use self::server::View;
+pub use self::ticket::Ticket;
+
+/// A place at a held server for one attempt.
+///
+/// A permit must be given back with [`Pool::finish`], [`Pool::abandon`] or [`Pool::put_back`].
+#[derive(Debug)]
+#[must_use = "a permit that is not given back keeps its place taken"]
+pub struct Permit {
+    pub(crate) key: u64,
+    pub(crate) vm: name::Vm,
+    pub(crate) address: SocketAddr,
+    pub(crate) since: Instant,
+    pub(crate) until: Option<Instant>,
+    pub(crate) patience: std::time::Duration,
+}
+
+impl Permit {
+    /// The server's VM.
+    pub fn vm(&self) -> &name::Vm {
+        &self.vm
+    }
+
+    /// Where the server accepts requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// When work given to the server must have ended, for a server that is not warm.
+    pub fn until(&self) -> Option<Instant> {
+        self.until
+    }
+}
+
+/// Another entry that has room for a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lead {
+    /// The entry's VM.
+    pub vm: name::Vm,
+    /// Its control address.
+    pub address: SocketAddr,
+}
+
+/// Where an attempt can go.
+#[derive(Debug)]
+pub enum Place {
+    /// To a held server.
+    Local(Permit),
+    /// To a peer that reported room.
+    Remote(Lead),
+}
+
+/// Sums over the held servers of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Room {
+    /// Sum of the limits of the servers that may receive work.
+    pub limit: u32,
+    /// Requests that could be dispatched at once.
+    pub free: u32,
+}
+
+/// Something that happened to a held server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Notice {
+    /// The server.
+    pub vm: name::Vm,
+    /// What happened.
+    pub change: Change,
+}
+
+/// The held servers and waiting requests of one service.
+#[derive(Debug)]
+pub struct Pool {
+    service: name::Service,
+    state: Mutex<State>,
+    demand: Notify,
+}
+
+impl Pool {
+    /// Creates a pool without servers.
+    pub fn new(service: name::Service) -> Self {
+        Self { service, state: Mutex::new(Rank::Pool, State::default()), demand: Notify::new() }
+    }
+
+    /// The service.
+    pub fn service(&self) -> &name::Service {
+        &self.service
+    }
+
+    /// Replaces the set of held servers. A server that stays keeps what is known of it; a new one
+    /// counts as cold. Returns the servers gained and lost.
+    pub fn hold(&self, now: Instant, specs: &[Spec]) -> (Vec<name::Vm>, Vec<name::Vm>) {
+        self.state.lock().hold(now, specs)
+    }
+
+    /// Takes a place at the best server with room, if there is one.
+    pub fn acquire(&self, now: Instant, idempotent: bool) -> Option<Permit> {
+        self.state.lock().acquire(now, idempotent)
+    }
+
+    /// Queues a request for the next free place. `None` if `queue` requests wait already.
+    pub fn wait(self: &Arc<Self>, idempotent: bool, queue: u32) -> Option<Ticket> {
+        let (sender, receiver) = oneshot::channel();
+        let queued = self.state.lock().wait(Waiter::new(idempotent, sender), queue);
+        if !queued {
+            return None;
+        }
+        self.demand.notify_one();
+        Some(Ticket::new(self.clone(), receiver))
+    }
+
+    /// Gives back a place after an attempt, with what the attempt showed.
+    pub fn finish(&self, now: Instant, permit: Permit, sample: &Sample) -> Option<Notice> {
+        self.state.lock().finish(now, permit, sample)
+    }
+
+    /// Gives back a place whose attempt was cancelled. The server may still be working on it, so
+    /// the place stays taken for a while.
+    pub fn abandon(&self, now: Instant, permit: Permit) {
+        self.state.lock().abandon(now, permit);
+    }
+
+    /// Gives back a place that was never used.
+    pub fn put_back(&self, permit: Permit) {
+        self.state.lock().put_back(permit);
+    }
+
+    /// Takes over a report that came from a probe.
+    pub fn report(&self, now: Instant, vm: &name::Vm, report: Report) -> Option<Notice> {
+        self.state.lock().report(now, vm, report)
+    }
+
+    /// Sets how long the claim on a server that is not warm is confirmed.
+    pub fn claim(&self, now: Instant, vm: &name::Vm, until: Option<Instant>) {
+        self.state.lock().claim(now, vm, until);
+    }
+
+    /// The held servers that may be used only under a claim.
+    pub fn unconfirmed(&self) -> Vec<name::Vm> {
+        self.state.lock().unconfirmed()
+    }
+
+    /// Takes a place for a probe if the server has one; probes count as load.
+    pub fn acquire_for_probe(&self, now: Instant, vm: &name::Vm) -> Option<Permit> {
+        self.state.lock().acquire_at(now, vm)
+    }
+
+    /// When the server's latest report arrived.
+    pub fn last_report(&self, vm: &name::Vm) -> Option<Instant> {
+        self.state.lock().last_report(vm)
+    }
+
+    /// Hands free places to waiting requests; to be called when time may have freed some.
+    pub fn tick(&self, now: Instant) {
+        self.state.lock().pump(now);
+    }
+
+    /// Sums over the held servers.
+    pub fn room(&self, now: Instant) -> Room {
+        self.state.lock().room(now)
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.state.lock().waiting()
+    }
+
+    /// What is known of each held server.
+    pub fn views(&self, now: Instant) -> Vec<View> {
+        self.state.lock().views(now)
+    }
+
+    /// Waits until a request waits here.
+    pub async fn demand(&self) {
+        loop {
+            if self.waiting() > 0 {
+                return;
+            }
+            self.demand.notified().await;
+        }
+    }
+
+    /// Gives a place at a peer to the oldest waiting request. Returns whether one waited.
+    pub fn lead(&self, lead: &Lead) -> bool {
+        self.state.lock().lead(lead)
+    }
+
+    /// Free places now, or a channel that is told when a place becomes free that no local request
+    /// waits for.
+    pub fn vacancy(&self, now: Instant) -> Result<u32, oneshot::Receiver<u32>> {
+        self.state.lock().vacancy(now)
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/server.rs
@@ -0,0 +1,188 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::Permit;
+use super::limit::Limit;
+use super::limit::Tuning;
+use super::limit::Warmth;
+use crate::config::Policy;
+use crate::name;
+use crate::time::Instant;
+
+/// How long a place stays taken after an attempt whose end at the server is not known.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Shortest rest of a claim under which a server that is not warm is given work. A request that
+/// starts later would likely be cut off by the end of the claim.
+const MIN_CLAIM: Duration = Duration::from_millis(500);
+
+/// Requests beyond the slots of a warm server. One waits at the server while the answer to another
+/// is on its way back, so that the slot does not idle for a round trip.
+const BEYOND_SLOTS: u32 = 1;
+
+/// Latency assumed for a server whose latency is not known.
+const DEFAULT_LATENCY: Duration = Duration::from_millis(1);
+
+/// Patience with an idempotent request, as a multiple of the usual latency.
+const PATIENCE_FACTOR: u32 = 20;
+
+/// Shortest patience with an idempotent request.
+const MIN_PATIENCE: Duration = Duration::from_millis(250);
+
+/// A server that this entry holds, as the documents in force describe it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Spec {
+    /// The server's VM.
+    pub vm: name::Vm,
+    /// Where it accepts requests.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// The values in force for it.
+    pub policy: Policy,
+    /// Why it receives no new work, if it is out of service or leaving.
+    pub out: Option<Arc<str>>,
+}
+
+/// What is known of a held server, for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct View {
+    /// The server's VM.
+    pub vm: name::Vm,
+    /// Where it accepts requests.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// Why it receives no new work, if so.
+    pub out: Option<Arc<str>>,
+    /// Whether it can bear its full limit.
+    pub warmth: Warmth,
+    /// Whether a claim on it is confirmed.
+    pub claimed: bool,
+    /// Requests that may be in flight.
+    pub limit: u32,
+    /// Requests in flight, those included whose end is not known.
+    pub in_flight: u32,
+    /// The usual latency; zero if none is known.
+    pub latency: Duration,
+}
+
+/// A held server and what is known of it.
+#[derive(Debug)]
+pub(super) struct Server {
+    pub(super) key: u64,
+    pub(super) spec: Spec,
+    pub(super) limit: Limit,
+    in_flight: u32,
+    lingering: SmallVec<[Instant; 4]>,
+    claim: Option<Instant>,
+}
+
+impl Server {
+    pub(super) fn new(key: u64, spec: &Spec) -> Self {
+        Self {
+            key,
+            spec: spec.clone(),
+            limit: Limit::new(tuning(&spec.policy)),
+            in_flight: 0,
+            lingering: SmallVec::new(),
+            claim: None,
+        }
+    }
+
+    pub(super) fn update(&mut self, spec: &Spec) {
+        self.limit.tune(tuning(&spec.policy));
+        self.spec = spec.clone();
+    }
+
+    pub(super) fn is_warm(&self) -> bool {
+        self.limit.warmth() == Warmth::Warm
+    }
+
+    /// Places that can be taken at `now`.
+    pub(super) fn free(&self, now: Instant) -> u32 {
+        if self.spec.out.is_some() || !self.permitted(now) {
+            return 0;
+        }
+        self.limit.current(now).saturating_sub(self.taken(now))
+    }
+
+    /// The limit at `now`; 0 for a server that receives no new work.
+    pub(super) fn allowed(&self, now: Instant) -> u32 {
+        if self.spec.out.is_some() { 0 } else { self.limit.current(now) }
+    }
+
+    fn permitted(&self, now: Instant) -> bool {
+        self.is_warm() || self.claim.is_some_and(|until| now + MIN_CLAIM <= until)
+    }
+
+    fn taken(&self, now: Instant) -> u32 {
+        let lingering = self.lingering.iter().filter(|until| now < **until).count();
+        self.in_flight + u32::try_from(lingering).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn take(&mut self, now: Instant) -> Permit {
+        self.in_flight += 1;
+        let usual = self.limit.estimate().max(DEFAULT_LATENCY);
+        Permit {
+            key: self.key,
+            vm: self.spec.vm.clone(),
+            address: self.spec.address,
+            since: now,
+            until: if self.is_warm() { None } else { self.claim },
+            patience: (usual * PATIENCE_FACTOR).max(MIN_PATIENCE),
+        }
+    }
+
+    pub(super) fn put_back(&mut self) {
+        assert!(self.in_flight > 0, "a place was given back twice");
+        self.in_flight -= 1;
+    }
+
+    /// Keeps a place taken whose attempt may still run at the server.
+    pub(super) fn linger(&mut self, now: Instant) {
+        self.lingering.retain(|until| now < *until);
+        self.lingering.push(now + LINGER);
+    }
+
+    /// The server says that it runs nothing, so no earlier attempt runs any more.
+    pub(super) fn idle(&mut self) {
+        self.lingering.clear();
+    }
+
+    pub(super) fn set_claim(&mut self, until: Option<Instant>) {
+        self.claim = until;
+    }
+
+    /// Expected time until one more request would be answered.
+    pub(super) fn score(&self, now: Instant) -> u128 {
+        let latency = self.limit.estimate().max(DEFAULT_LATENCY);
+        u128::from(self.taken(now) + 1) * latency.as_nanos()
+    }
+
+    pub(super) fn view(&self, now: Instant) -> View {
+        let draining = self.limit.draining().then(|| Arc::from("the server is draining"));
+        View {
+            vm: self.spec.vm.clone(),
+            address: self.spec.address,
+            domain: self.spec.domain.clone(),
+            out: self.spec.out.clone().or(draining),
+            warmth: self.limit.warmth(),
+            claimed: self.claim.is_some_and(|until| now < until),
+            limit: self.allowed(now),
+            in_flight: self.taken(now),
+            latency: self.limit.estimate(),
+        }
+    }
+}
+
+fn tuning(policy: &Policy) -> Tuning {
+    Tuning {
+        full: policy.slots + BEYOND_SLOTS,
+        warm_after: policy.warm_after,
+        cold_factor: policy.cold_factor,
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/state.rs
@@ -0,0 +1,244 @@
+use std::collections::VecDeque;
+
+use tokio::sync::oneshot;
+
+use super::Lead;
+use super::Notice;
+use super::Permit;
+use super::Place;
+use super::Room;
+use super::limit::Kind;
+use super::limit::Sample;
+use super::report::Report;
+use super::server::Server;
+use super::server::Spec;
+use super::server::View;
+use crate::name;
+use crate::time::Instant;
+
+/// Peers that may wait for a vacancy at once. One entry has one watch for a service at most, so
+/// this is above the number of entries of a region.
+const MAX_WATCHERS: usize = 512;
+
+/// A request that waits for a place.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    idempotent: bool,
+    sender: oneshot::Sender<Place>,
+}
+
+impl Waiter {
+    pub(super) fn new(idempotent: bool, sender: oneshot::Sender<Place>) -> Self {
+        Self { idempotent, sender }
+    }
+}
+
+/// What the lock of a pool protects.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    servers: Vec<Server>,
+    next_key: u64,
+    waiting: VecDeque<Waiter>,
+    watchers: VecDeque<oneshot::Sender<u32>>,
+}
+
+impl State {
+    pub(super) fn hold(&mut self, now: Instant, specs: &[Spec]) -> (Vec<name::Vm>, Vec<name::Vm>) {
+        let mut lost = Vec::new();
+        self.servers.retain(|server| {
+            let kept = specs.iter().any(|spec| same(spec, &server.spec));
+            if !kept {
+                lost.push(server.spec.vm.clone());
+            }
+            kept
+        });
+        let mut gained = Vec::new();
+        for spec in specs {
+            if let Some(server) = self.servers.iter_mut().find(|server| same(spec, &server.spec)) {
+                server.update(spec);
+                continue;
+            }
+            self.next_key += 1;
+            self.servers.push(Server::new(self.next_key, spec));
+            gained.push(spec.vm.clone());
+        }
+        self.pump(now);
+        (gained, lost)
+    }
+
+    pub(super) fn acquire(&mut self, now: Instant, idempotent: bool) -> Option<Permit> {
+        // Work that must not run twice goes to warm servers first: a cold one is more likely to
+        // fail after it has started.
+        let best = self
+            .servers
+            .iter_mut()
+            .filter(|server| server.free(now) > 0)
+            .min_by_key(|server| (!idempotent && !server.is_warm(), server.score(now)))?;
+        Some(best.take(now))
+    }
+
+    pub(super) fn acquire_at(&mut self, now: Instant, vm: &name::Vm) -> Option<Permit> {
+        let server = self.server(vm)?;
+        (server.free(now) > 0).then(|| server.take(now))
+    }
+
+    pub(super) fn wait(&mut self, waiter: Waiter, queue: u32) -> bool {
+        self.waiting.retain(|waiter| !waiter.sender.is_closed());
+        let full = self.waiting.len() >= queue as usize;
+        if !full {
+            self.waiting.push_back(waiter);
+        }
+        !full
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        now: Instant,
+        permit: Permit,
+        sample: &Sample,
+    ) -> Option<Notice> {
+        let server = self.servers.iter_mut().find(|server| server.key == permit.key)?;
+        server.put_back();
+        if matches!(sample.kind, Kind::Broken | Kind::Timeout) {
+            server.linger(now);
+        }
+        let change = server.limit.observe(now, sample);
+        if sample.report.is_some_and(|report| report.in_flight == 0) {
+            server.idle();
+        }
+        let notice = change.map(|change| Notice { vm: permit.vm, change });
+        self.pump(now);
+        notice
+    }
+
+    pub(super) fn abandon(&mut self, now: Instant, permit: Permit) {
+        if let Some(server) = self.servers.iter_mut().find(|server| server.key == permit.key) {
+            server.put_back();
+            server.linger(now);
+        }
+    }
+
+    pub(super) fn put_back(&mut self, permit: Permit) {
+        let Some(server) = self.servers.iter_mut().find(|server| server.key == permit.key) else {
+            return;
+        };
+        server.put_back();
+        // The claim is checked again before the send, so the time of the permit is good enough.
+        self.pump(permit.since);
+    }
+
+    pub(super) fn report(&mut self, now: Instant, vm: &name::Vm, report: Report) -> Option<Notice> {
+        let server = self.server(vm)?;
+        let change = server.limit.probed(now, report);
+        self.pump(now);
+        change.map(|change| Notice { vm: vm.clone(), change })
+    }
+
+    pub(super) fn claim(&mut self, now: Instant, vm: &name::Vm, until: Option<Instant>) {
+        if let Some(server) = self.server(vm) {
+            server.set_claim(until);
+            self.pump(now);
+        }
+    }
+
+    pub(super) fn unconfirmed(&self) -> Vec<name::Vm> {
+        let cold = |server: &&Server| !server.is_warm() && server.spec.out.is_none();
+        self.servers.iter().filter(cold).map(|server| server.spec.vm.clone()).collect()
+    }
+
+    pub(super) fn last_report(&self, vm: &name::Vm) -> Option<Instant> {
+        let server = self.servers.iter().find(|server| server.spec.vm == *vm)?;
+        server.limit.reported_at()
+    }
+
+    pub(super) fn room(&self, now: Instant) -> Room {
+        let limit = self.servers.iter().map(|server| server.allowed(now)).sum();
+        Room { limit, free: self.free(now) }
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.iter().filter(|waiter| !waiter.sender.is_closed()).count()
+    }
+
+    pub(super) fn views(&self, now: Instant) -> Vec<View> {
+        self.servers.iter().map(|server| server.view(now)).collect()
+    }
+
+    pub(super) fn lead(&mut self, lead: &Lead) -> bool {
+        while let Some(waiter) = self.waiting.pop_front() {
+            if waiter.sender.send(Place::Remote(lead.clone())).is_ok() {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub(super) fn vacancy(&mut self, now: Instant) -> Result<u32, oneshot::Receiver<u32>> {
+        let free = self.free(now);
+        if free > 0 {
+            return Ok(free);
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.watchers.retain(|watcher| !watcher.is_closed());
+        if self.watchers.len() < MAX_WATCHERS {
+            self.watchers.push_back(sender);
+        }
+        Err(receiver)
+    }
+
+    /// Hands free places to waiting requests, then tells peers about what is left, one peer for
+    /// each free place, so that a single place does not attract them all.
+    pub(super) fn pump(&mut self, now: Instant) {
+        self.serve_waiting(now);
+        if self.watchers.is_empty() || !self.waiting.is_empty() {
+            return;
+        }
+        let mut free = self.free(now);
+        while free > 0 {
+            let Some(watcher) = self.watchers.pop_front() else {
+                return;
+            };
+            if watcher.send(1).is_ok() {
+                free -= 1;
+            }
+        }
+    }
+
+    fn serve_waiting(&mut self, now: Instant) {
+        while let Some(waiter) = self.waiting.front() {
+            if waiter.sender.is_closed() {
+                self.waiting.pop_front();
+                continue;
+            }
+            let idempotent = waiter.idempotent;
+            let Some(permit) = self.acquire(now, idempotent) else {
+                return;
+            };
+            let Some(waiter) = self.waiting.pop_front() else {
+                return;
+            };
+            if let Err(Place::Local(permit)) = waiter.sender.send(Place::Local(permit)) {
+                self.release(permit);
+            }
+        }
+    }
+
+    fn release(&mut self, permit: Permit) {
+        if let Some(server) = self.servers.iter_mut().find(|server| server.key == permit.key) {
+            server.put_back();
+        }
+    }
+
+    fn free(&self, now: Instant) -> u32 {
+        self.servers.iter().map(|server| server.free(now)).sum()
+    }
+
+    fn server(&mut self, vm: &name::Vm) -> Option<&mut Server> {
+        self.servers.iter_mut().find(|server| server.spec.vm == *vm)
+    }
+}
+
+/// A VM that changed its address is another server.
+fn same(one: &Spec, other: &Spec) -> bool {
+    one.vm == other.vm && one.address == other.address
+}
--- a/crates/core/src/port/mod.rs
+++ b/crates/core/src/port/mod.rs
@@ -4,8 +4,14 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use crate::config::Config;
+use crate::control::Claim;
+use crate::control::Hello;
+use crate::control::Kind;
 use crate::event::Event;
+use crate::member::List;
 use crate::name;
 use crate::outcome::Evidence;
 use crate::pool::Report;
@@ -17,6 +23,9 @@
     /// The current time.
     fn now(&self) -> Instant;
 
+    /// Milliseconds since the Unix epoch on the wall clock, for the time line only.
+    fn wall_millis(&self) -> u64;
+
     /// Waits until `at`; returns at once if it has passed.
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> + Send;
 }
@@ -38,24 +47,44 @@
 
 /// Sends attempts to servers.
 pub trait Upstream: Send + Sync + 'static {
-    /// Sends one attempt to the server at `address` and waits for its whole answer, at most until the attempt's
-    /// deadline. Dropping the future closes the connection.
-    fn send(&self, address: SocketAddr, attempt: Attempt<'_>)
-    -> impl Future<Output = Reply> + Send;
+    /// Sends one attempt to the server at `address` and waits for its whole answer, at most until the
+    /// attempt's deadline. Dropping the future closes the connection.
+    fn send(
+        &self,
+        address: SocketAddr,
+        attempt: Attempt<'_>,
+    ) -> impl Future<Output = Reply> + Send;
+
+    /// Asks the server at `address` for a report. `None` if it gives none in time.
+    fn probe(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> impl Future<Output = Option<Report>> + Send;
+}
+
+/// What came back from a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Forwarded {
+    /// What the attempt proves.
+    pub evidence: Evidence,
+    /// Requests of the service that the peer could dispatch at once, if it said so.
+    pub free: Option<u32>,
 }
 
 /// Sends attempts to other entries.
 pub trait Peer: Send + Sync + 'static {
-    /// Forwards one attempt to the entry `vm` at `address`, which dispatches it at once or refuses it.
+    /// Forwards one attempt to the entry `vm` at `address`, which dispatches it at once or refuses
+    /// it.
     fn forward(
         &self,
         vm: &name::Vm,
         address: SocketAddr,
         attempt: Attempt<'_>,
-    ) -> impl Future<Output = Evidence> + Send;
+    ) -> impl Future<Output = Forwarded> + Send;
 
-    /// Waits until the entry at `address` has room for `service`, at most until `deadline`. Returns the number of
-    /// free places, or 0 if there are none or the entry cannot be reached.
+    /// Waits until the entry at `address` has room for `service`, at most until `deadline`. Returns
+    /// the number of free places, or 0 if there are none or the entry cannot be reached.
     fn vacancy(
         &self,
         address: SocketAddr,
@@ -64,8 +93,56 @@
     ) -> impl Future<Output = u32> + Send;
 }
 
+/// Keeps entries informed about each other.
+pub trait Mesh: Send + Sync + 'static {
+    /// Exchanges heartbeats with the entry at `address`. `None` if it does not answer in time.
+    fn heartbeat(
+        &self,
+        address: SocketAddr,
+        hello: &Hello,
+        timeout: Duration,
+    ) -> impl Future<Output = Option<Hello>> + Send;
+
+    /// Asks the witness at `address` for promises. Returns one answer for each target of the claim,
+    /// in order, or `None` if it does not answer in time.
+    fn claim(
+        &self,
+        address: SocketAddr,
+        claim: &Claim<'_>,
+        timeout: Duration,
+    ) -> impl Future<Output = Option<Vec<bool>>> + Send;
+
+    /// Fetches a document in force at the entry at `address`.
+    fn document(
+        &self,
+        address: SocketAddr,
+        kind: Kind,
+        timeout: Duration,
+    ) -> impl Future<Output = Option<Vec<u8>>> + Send;
+}
+
+/// Reads documents as the platform publishes them.
+pub trait Reader: Send + Sync + 'static {
+    /// Reads a configuration; the error is for operators.
+    ///
+    /// # Errors
+    ///
+    /// Why the document is not valid.
+    fn config(&self, bytes: &[u8]) -> Result<Config, String>;
+
+    /// Reads a VM list; the error is for operators.
+    ///
+    /// # Errors
+    ///
+    /// Why the document is not valid.
+    fn list(&self, bytes: &[u8]) -> Result<List, String>;
+
+    /// The number that a document claims to have, even if it is not valid; 0 if it has none.
+    fn number(&self, kind: Kind, bytes: &[u8]) -> u64;
+}
+
 /// Records events for the time line.
-pub trait Journal: Send + Sync + 'static {
+pub trait Journal {
     /// Records one event.
     fn record(&self, event: Event);
 }
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,199 @@
+//! The listener for other entries and for operators.
+
+mod admin;
+mod mesh;
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use jackdawpin_core::control::Control;
+use jackdawpin_core::flow::Router;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Mesh;
+use jackdawpin_core::port::Peer;
+use jackdawpin_core::port::Random;
+use jackdawpin_core::port::Upstream;
+use jackdawpin_wire as wire;
+use motore::service::Service;
+use quick_error::quick_error;
+use serde::Serialize;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use crate::listen::Budget;
+use crate::listen::Context;
+use crate::listen::body;
+use crate::metrics::Metrics;
+
+/// Largest message that is read: the largest body and its envelope.
+const MAX_BODY: usize = (64 << 20) + wire::MAX_ENVELOPE;
+
+const TEXT: &str = "text/plain; charset=utf-8";
+const METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+quick_error! {
+    /// Why a message of a peer or an operator is not served.
+    #[derive(Debug)]
+    pub(crate) enum Error {
+        /// The body was not read.
+        Body(err: body::Error) {
+            from()
+            display("{}", err)
+        }
+        /// The message could not be encoded or decoded.
+        Message(err: wire::Error) {
+            from()
+            display("{}", err)
+        }
+        /// A name in the message is not valid.
+        Name(err: jackdawpin_core::name::Error) {
+            from()
+            display("{}", err)
+        }
+        /// The request id in the message is not valid.
+        Id(err: jackdawpin_core::request::Error) {
+            from()
+            display("{}", err)
+        }
+        /// A query parameter is missing or not valid.
+        Query(name: &'static str) {
+            display("query parameter {:?} is missing or not valid", name)
+        }
+        /// Nothing of that name exists here.
+        Missing(what: &'static str) {
+            display("{} does not exist here", what)
+        }
+        /// No such path, or not with this method.
+        Path {
+            display("no such path, or not with this method")
+        }
+    }
+}
+
+impl Error {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Missing(_) | Self::Path => StatusCode::NOT_FOUND,
+            Self::Body(body::Error::Budget) => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// Serves other entries and operators.
+#[derive(Debug)]
+pub struct Listener<C, R, U, P> {
+    router: Arc<Router<C, R, U, P>>,
+    control: Arc<Control<C, R, U, P>>,
+    budget: Budget,
+    body_timeout: Duration,
+    metrics: Arc<Metrics>,
+}
+
+impl<C: Clock, R: Random, U: Upstream, P: Peer + Mesh> Listener<C, R, U, P> {
+    /// Creates the service for the control listener. All bodies together take at most `budget`, and
+    /// one must arrive within `body_timeout`.
+    pub fn new(
+        router: Arc<Router<C, R, U, P>>,
+        control: Arc<Control<C, R, U, P>>,
+        budget: Budget,
+        body_timeout: Duration,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self { router, control, budget, body_timeout, metrics }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Error> {
+        if request.method() == Method::POST {
+            return self.post(request).await;
+        }
+        if request.method() != Method::GET {
+            return Err(Error::Path);
+        }
+        match request.uri().path() {
+            wire::path::CONFIG | wire::path::VMS => self.document(request.uri().path()),
+            wire::path::STATUS => message(&self.status()),
+            wire::path::EXPLAIN => message(&self.explain(request.uri())?),
+            wire::path::TIMELINE => message(&self.timeline(request.uri())?),
+            "/metrics" => Ok(self.metrics()),
+            "/livez" => Ok(text(StatusCode::OK, "live")),
+            "/readyz" => Ok(self.ready()),
+            _ => Err(Error::Path),
+        }
+    }
+
+    async fn post(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Error> {
+        let (parts, body) = request.into_parts();
+        let bytes = body::read(body, MAX_BODY, self.body_timeout, &self.budget).await?;
+        match parts.uri.path() {
+            wire::path::HEARTBEAT => self.heartbeat(&bytes),
+            wire::path::LEASE => self.lease(&bytes),
+            wire::path::FORWARD => self.forward(&bytes).await,
+            wire::path::VACANCY => self.vacancy(&bytes).await,
+            _ => Err(Error::Path),
+        }
+    }
+
+    fn ready(&self) -> Response<Full<Bytes>> {
+        let gate = &self.router.tables().gate;
+        match gate.admits(self.router.clock().now()) {
+            Ok(()) if gate.is_leaving() => text(StatusCode::SERVICE_UNAVAILABLE, "leaving"),
+            Ok(()) => text(StatusCode::OK, "ready"),
+            Err(refusal) => text(StatusCode::SERVICE_UNAVAILABLE, &refusal.to_string()),
+        }
+    }
+
+    fn metrics(&self) -> Response<Full<Bytes>> {
+        let tables = self.router.tables();
+        let now = self.router.clock().now();
+        for (service, route) in tables.routes().iter() {
+            let room = route.pool().room(now);
+            self.metrics.pool(service.as_str(), room, route.pool().waiting());
+            self.metrics.totals(service.as_str(), &tables.ledger.totals(service.as_str()));
+        }
+        let mut response = text(StatusCode::OK, &self.metrics.render());
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(METRICS));
+        response
+    }
+}
+
+impl<C: Clock, R: Random, U: Upstream, P: Peer + Mesh> Service<Context, Request<Incoming>>
+    for Listener<C, R, U, P>
+{
+    type Response = Response<Full<Bytes>>;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        context: &mut Context,
+        request: Request<Incoming>,
+    ) -> Result<Self::Response, Infallible> {
+        let path = request.uri().path().to_owned();
+        let answer = self.answer(request).await;
+        Ok(answer.unwrap_or_else(|err| {
+            log::warn!("{path} from {} not served: {err}", context.remote);
+            text(err.status(), &err.to_string())
+        }))
+    }
+}
+
+fn message(message: &impl Serialize) -> Result<Response<Full<Bytes>>, Error> {
+    let mut response = Response::new(Full::new(Bytes::from(wire::encode(message)?)));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(wire::MEDIA_TYPE));
+    Ok(response)
+}
+
+fn text(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{text}\n"))));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(TEXT));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/exchange/mod.rs
@@ -0,0 +1,150 @@
+//! One HTTP exchange over a pooled connection, with exact knowledge of whether the request left.
+//!
+//! The request path needs to say "not run" only where it is proved. This client therefore tells
+//! apart: no connection, a connection that closed before it took the request, and a connection that
+//! broke after it. It uses hyper directly, because volo-http's client reports neither, has no
+//! timeout for connecting, and resolves names, which entries never need.
+//!
+//! A connection serves one exchange at a time and goes back to the pool only after a whole answer.
+//! A cancelled or timed-out exchange closes its connection.
+
+mod error;
+mod idle;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use self::idle::Idle;
+use self::idle::Sender;
+
+pub use self::error::Error;
+
+/// Longest time for a new connection. The slowest link is a few milliseconds each way, so this
+/// allows for one lost packet at the start of a connection (1 s) and no more.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Largest head of an answer, in bytes.
+const MAX_HEAD: usize = 64 << 10;
+
+/// How far an exchange has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// No byte of the request can have left.
+    Unsent,
+    /// The request may have left.
+    Sent,
+}
+
+/// A pool of connections.
+#[derive(Debug, Default)]
+pub struct Client {
+    idle: Idle,
+}
+
+impl Client {
+    /// Sends a request and returns its whole answer, which has at most `limit` bytes of body.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] only if no byte of the request can have left.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+        limit: usize,
+    ) -> Result<Response<Bytes>, Error> {
+        let mut progress = Progress::Unsent;
+        let exchange = self.run(address, request, limit, &mut progress);
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) if progress == Progress::Unsent => Err(Error::NotSent("timed out".into())),
+            Err(_) => Err(Error::Timeout),
+        }
+    }
+
+    async fn run(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        limit: usize,
+        progress: &mut Progress,
+    ) -> Result<Response<Bytes>, Error> {
+        loop {
+            let (mut sender, reused) = self.connection(address).await?;
+            *progress = Progress::Sent;
+            match sender.try_send_request(request).await {
+                Ok(response) => return self.receive(address, sender, response, limit).await,
+                Err(mut failure) => {
+                    // hyper hands the request back only if it has not begun to write it.
+                    let Some(unsent) = failure.take_message() else {
+                        return Err(Error::Broken(failure.into_error().to_string()));
+                    };
+                    *progress = Progress::Unsent;
+                    if !reused {
+                        return Err(Error::NotSent(failure.into_error().to_string()));
+                    }
+                    request = unsent;
+                }
+            }
+        }
+    }
+
+    /// An open connection, and whether it has been used before.
+    async fn connection(&self, address: SocketAddr) -> Result<(Sender, bool), Error> {
+        while let Some(mut sender) = self.idle.take(address) {
+            if sender.ready().await.is_ok() {
+                return Ok((sender, true));
+            }
+        }
+        Ok((connect(address).await?, false))
+    }
+
+    async fn receive(
+        &self,
+        address: SocketAddr,
+        sender: Sender,
+        response: Response<Incoming>,
+        limit: usize,
+    ) -> Result<Response<Bytes>, Error> {
+        let (parts, body) = response.into_parts();
+        let body = match Limited::new(body, limit).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(err) => return Err(Error::Answer(err.to_string())),
+        };
+        self.idle.put(address, sender);
+        Ok(Response::from_parts(parts, body))
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, Error> {
+    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(err)) => return Err(Error::NotSent(err.to_string())),
+        Err(_) => return Err(Error::NotSent("connecting timed out".into())),
+    };
+    let nodelay = stream.set_nodelay(true);
+    nodelay.map_err(|err| Error::NotSent(err.to_string()))?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|err| Error::NotSent(err.to_string()))?;
+    tokio::spawn(async move {
+        if let Err(err) = connection.await {
+            log::debug!("connection to {address} ended: {err}");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/daemon/src/front/mod.rs
@@ -0,0 +1,94 @@
+//! The listener for callers: addresses and calls over plain HTTP.
+//!
+//! A call is buffered whole before it is admitted, and its answer is buffered whole before it goes
+//! out, so a cut answer never looks like a whole one.
+
+mod call;
+mod response;
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use jackdawpin_core::flow::Router;
+use jackdawpin_core::outcome::Refusal;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Peer;
+use jackdawpin_core::port::Random;
+use jackdawpin_core::port::Upstream;
+use motore::service::Service;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use crate::listen::Budget;
+use crate::listen::Context;
+use crate::metrics::Metrics;
+use crate::query;
+
+/// Path that tells callers which addresses to use; query `service`.
+pub const ADDRESSES: &str = "/v1/addresses";
+
+/// Prefix of the path of a call; the name of the service and the server's path follow.
+pub const CALL: &str = "/v1/call/";
+
+/// Serves callers.
+#[derive(Debug)]
+pub struct Front<C, R, U, P> {
+    router: Arc<Router<C, R, U, P>>,
+    budget: Budget,
+    body_timeout: Duration,
+    metrics: Arc<Metrics>,
+}
+
+impl<C: Clock, R: Random, U: Upstream, P: Peer> Front<C, R, U, P> {
+    /// Creates the service for the callers' listener. All bodies together take at most `budget`, and
+    /// one must arrive within `body_timeout`.
+    pub fn new(
+        router: Arc<Router<C, R, U, P>>,
+        budget: Budget,
+        body_timeout: Duration,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self { router, budget, body_timeout, metrics }
+    }
+
+    fn addresses(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let Some(service) = query::value(request.uri(), "service") else {
+            return response::refused(Refusal::Invalid, "query parameter \"service\" is missing");
+        };
+        match self.router.addresses(&service) {
+            Ok(addresses) => response::addresses(&addresses),
+            Err(refusal) => response::refused(refusal, response::explain(refusal)),
+        }
+    }
+}
+
+impl<C: Clock, R: Random, U: Upstream, P: Peer> Service<Context, Request<Incoming>>
+    for Front<C, R, U, P>
+{
+    type Response = Response<Full<Bytes>>;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _: &mut Context,
+        request: Request<Incoming>,
+    ) -> Result<Self::Response, Infallible> {
+        let path = request.uri().path();
+        if path.starts_with(CALL) {
+            return Ok(self.serve(request).await);
+        }
+        if path != ADDRESSES {
+            return Ok(response::plain(StatusCode::NOT_FOUND, "no such path"));
+        }
+        if request.method() != Method::GET {
+            return Ok(response::plain(StatusCode::METHOD_NOT_ALLOWED, "use GET"));
+        }
+        Ok(self.addresses(&request))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/response.rs
@@ -0,0 +1,148 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::Full;
+use jackdawpin_core::flow::Addresses;
+use jackdawpin_core::outcome::Outcome;
+use jackdawpin_core::outcome::Refusal;
+use jackdawpin_core::request::Id;
+use serde::Serialize;
+use volo_http::response::Response;
+
+use super::call::status;
+use crate::headers;
+use crate::listen::body;
+
+const ANSWERED: &str = "answered";
+const REFUSED: &str = "refused";
+const UNKNOWN: &str = "unknown";
+
+#[derive(Serialize)]
+struct Failure<'a> {
+    outcome: &'a str,
+    reason: &'a str,
+    message: &'a str,
+}
+
+#[derive(Serialize)]
+struct Address {
+    address: SocketAddr,
+    weight: u32,
+}
+
+#[derive(Serialize)]
+struct List {
+    addresses: Vec<Address>,
+    ttl_ms: u64,
+}
+
+/// A response that is about no request, such as for an unknown path.
+pub(super) fn plain(status: StatusCode, message: &str) -> Response<Full<Bytes>> {
+    failure(status, REFUSED, "invalid_request", message)
+}
+
+/// The addresses that callers may use.
+pub(super) fn addresses(addresses: &Addresses) -> Response<Full<Bytes>> {
+    let entry = |entry: &jackdawpin_core::flow::Address| Address {
+        address: entry.address,
+        weight: entry.weight,
+    };
+    let list = List {
+        addresses: addresses.addresses.iter().map(entry).collect(),
+        ttl_ms: u64::try_from(addresses.ttl.as_millis()).unwrap_or(u64::MAX),
+    };
+    json(StatusCode::OK, &list)
+}
+
+/// The response to a request that did not run.
+pub(super) fn refused(refusal: Refusal, message: &str) -> Response<Full<Bytes>> {
+    failure(status(refusal), REFUSED, &refusal.to_string(), message)
+}
+
+/// The response to a request whose body was not read.
+pub(super) fn body_refused(err: &body::Error) -> Response<Full<Bytes>> {
+    let status = match err {
+        body::Error::Large(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        body::Error::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    failure(status, REFUSED, "invalid_request", &err.to_string())
+}
+
+/// The response to an admitted request.
+pub(super) fn outcome(id: &Id, outcome: Outcome) -> Response<Full<Bytes>> {
+    let mut response = match outcome {
+        Outcome::Answered(answer) => {
+            let mut response = Response::new(Full::new(answer.body));
+            *response.status_mut() =
+                StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            let fields = answer.headers.iter().map(|field| (&*field.name, &field.value[..]));
+            headers::extend(response.headers_mut(), fields);
+            mark(&mut response, ANSWERED, "");
+            response
+        }
+        Outcome::Refused(refusal) => refused(refusal, explain(refusal)),
+        Outcome::Unknown(doubt) => failure(
+            StatusCode::BAD_GATEWAY,
+            UNKNOWN,
+            &doubt.to_string(),
+            "the request may have run",
+        ),
+    };
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        response.headers_mut().insert(headers::REQUEST_ID, value);
+    }
+    response
+}
+
+/// What a refusal means, for a person.
+pub(super) fn explain(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::Fenced => "this entry cannot know the configuration in force; use another one",
+        Refusal::Leaving => "this entry is leaving; ask for addresses again",
+        Refusal::NotReady => "this entry has no configuration yet; use another one",
+        Refusal::UnknownService => "the service is not in the configuration in force",
+        Refusal::Invalid => "the request breaks a limit or is malformed",
+        Refusal::Duplicate => "a request with this id is in flight",
+        Refusal::QueueFull => "too many requests wait for the service",
+        Refusal::Deadline => "no server had room before the deadline",
+        Refusal::NoServer => "no server of the service may receive work",
+        Refusal::Attempts => "no attempt ran, and no further one is allowed",
+        Refusal::Full => "no server of the service has room",
+        Refusal::Memory => "this entry holds too many bytes of bodies",
+    }
+}
+
+fn failure(
+    status: StatusCode,
+    outcome: &str,
+    reason: &str,
+    message: &str,
+) -> Response<Full<Bytes>> {
+    let mut response = json(status, &Failure { outcome, reason, message });
+    mark(&mut response, outcome, reason);
+    response
+}
+
+fn mark(response: &mut Response<Full<Bytes>>, outcome: &str, reason: &str) {
+    let map = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(outcome) {
+        map.insert(headers::OUTCOME, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(reason)
+        && !reason.is_empty()
+    {
+        map.insert(headers::OUTCOME_REASON, value);
+    }
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/peer/mod.rs
@@ -0,0 +1,171 @@
+//! Sends messages to other entries over HTTP with MessagePack bodies.
+
+pub mod forward;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::Full;
+use jackdawpin_core::name;
+use jackdawpin_core::outcome::Doubt;
+use jackdawpin_core::outcome::Evidence;
+use jackdawpin_core::outcome::NotRun;
+use jackdawpin_core::port;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Forwarded;
+use jackdawpin_core::request::Attempt;
+use jackdawpin_core::time::Instant;
+use jackdawpin_wire as wire;
+use quick_error::quick_error;
+use serde::Serialize;
+
+use crate::exchange;
+use crate::exchange::Client;
+use crate::upstream;
+
+/// Largest reply to a forwarded attempt in bytes: the largest body and its envelope.
+const MAX_REPLY: usize = (64 << 20) + wire::MAX_ENVELOPE;
+
+/// Time by which a vacancy notice may come later than asked for.
+const NOTICE_GRACE: Duration = Duration::from_millis(200);
+
+quick_error! {
+    /// Why a message got no usable answer.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The exchange failed.
+        Exchange(err: exchange::Error) {
+            from()
+            source(err)
+            display("{}", err)
+        }
+        /// A message could not be encoded or decoded.
+        Message(err: wire::Error) {
+            from()
+            source(err)
+            display("{}", err)
+        }
+        /// The peer answered with an error.
+        Status(status: StatusCode) {
+            display("the peer answered {}", status)
+        }
+    }
+}
+
+/// Sends messages over pooled connections.
+#[derive(Debug, Clone)]
+pub struct Peer<C> {
+    client: Arc<Client>,
+    clock: C,
+}
+
+impl<C: Clock> Peer<C> {
+    /// Creates an adapter that shares the connections of `client`.
+    pub fn new(client: Arc<Client>, clock: C) -> Self {
+        Self { client, clock }
+    }
+
+    /// Sends `message` and returns the bytes of the answer.
+    ///
+    /// # Errors
+    ///
+    /// The exchange failed or the peer answered with an error.
+    pub async fn post(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+        message: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<Bytes, Error> {
+        let body = Bytes::from(wire::encode(message)?);
+        self.call(address, Method::POST, path, body, timeout, wire::MAX_MESSAGE).await
+    }
+
+    /// Fetches the message at `path`.
+    ///
+    /// # Errors
+    ///
+    /// The exchange failed or the peer answered with an error.
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+        timeout: Duration,
+    ) -> Result<Bytes, Error> {
+        let body = Bytes::new();
+        self.call(address, Method::GET, path, body, timeout, wire::MAX_MESSAGE).await
+    }
+
+    async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &'static str,
+        body: Bytes,
+        timeout: Duration,
+        limit: usize,
+    ) -> Result<Bytes, Error> {
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = http::Uri::from_static(path);
+        let map = request.headers_mut();
+        map.insert(CONTENT_TYPE, HeaderValue::from_static(wire::MEDIA_TYPE));
+        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+            map.insert(HOST, host);
+        }
+        let response = self.client.exchange(address, request, timeout, limit).await?;
+        match response.status() {
+            StatusCode::OK => Ok(response.into_body()),
+            status => Err(Error::Status(status)),
+        }
+    }
+}
+
+impl<C: Clock> port::Peer for Peer<C> {
+    async fn forward(
+        &self,
+        vm: &name::Vm,
+        address: SocketAddr,
+        attempt: Attempt<'_>,
+    ) -> Forwarded {
+        let left = attempt.deadline.since(self.clock.now());
+        let evidence = |evidence| Forwarded { evidence, free: None };
+        let Ok(body) = forward::encode(&attempt, left) else {
+            return evidence(Evidence::NotRun(NotRun::NotSent));
+        };
+        let path = wire::path::FORWARD;
+        match self.call(address, Method::POST, path, body.into(), left, MAX_REPLY).await {
+            Ok(bytes) => forward::decode(&attempt, &bytes),
+            Err(Error::Exchange(err)) => {
+                log::debug!("forward of {} to {vm} failed: {err}", attempt.request.id);
+                evidence(upstream::evidence(&err))
+            }
+            Err(err) => {
+                log::warn!("forward of {} to {vm} failed: {err}", attempt.request.id);
+                evidence(Evidence::MayHaveRun(Doubt::BadAnswer))
+            }
+        }
+    }
+
+    async fn vacancy(
+        &self,
+        address: SocketAddr,
+        service: &name::Service,
+        deadline: Instant,
+    ) -> u32 {
+        let left = deadline.since(self.clock.now());
+        let wait_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        let watch = wire::Watch { service: service.as_str(), wait_ms };
+        let answer = self.post(address, wire::path::VACANCY, &watch, left + NOTICE_GRACE).await;
+        let vacancy = answer.and_then(|bytes| Ok(wire::decode::<wire::Vacancy>(&bytes)?));
+        vacancy.map_or(0, |vacancy| vacancy.free)
+    }
+}
