core: rank entries for a server by rendezvous hashing

Each entry must find the same holder and witnesses of a server from the VM list alone. Entries of the server's failure domain come first, then those of its region, then the rest; within a class xxh3 scores decide.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod outcome;
 pub mod pool;
 pub mod port;
+pub mod rank;
 pub mod request;
 pub mod time;
