core: limit probes and retries with token buckets

probe::Budget gives a holder half of a server's probe limit, because two entries may hold a server while their views differ. A bucket that starts full was ruled out: a server that moves between holders would be probed at each change. The bucket starts empty and the first token comes after one to two intervals, spread at random. An odd limit is rounded down, so two holders stay within it in each minute; a limit of 1 gives each holder one probe in two minutes, which is within the limit only on average.

retry::Budget counts in thousandths of a retry; it starts full, as an entry that has just started may meet servers that refuse.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod outcome;
 pub mod pool;
 pub mod port;
+pub mod probe;
 pub mod rank;
 pub mod request;
+pub mod retry;
 pub mod time;
