Add the table of documents in force

A process accepts configurations and VM lists in a total order, by number and then by digest, and only moves up in it (I9). An equal number with another digest is decided by the digest everywhere and reported, because two operators published the same number. A platform that serves an older document is reported once and shown until it catches up; a rebuilt platform with lower versions therefore has no effect until its versions pass those in force.

A refused document does not replace the one in force. It is reported once; its place is kept so that peers that accepted it are not asked for it again, and its reason is cut to 512 bytes.

Documents that were replaced are freed after the lock is released, so that no request waits while thousands of names are freed.

--- /dev/null
+++ b/crates/core/src/intent/table.rs
@@ -0,0 +1,270 @@
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use super::Accepted;
+use super::Decision;
+use super::Order;
+use super::Refusal;
+use super::Source;
+use super::slot::Document;
+use super::slot::MAX_REFUSED;
+use super::slot::Offer;
+use super::slot::Slot;
+use crate::config::Config;
+use crate::event::Event;
+use crate::lock::Mutex;
+use crate::lock::Rank;
+use crate::member::List;
+use crate::port::Journal;
+use crate::time::Instant;
+
+/// The configuration and the VM list in force together, as one consistent value for a request.
+#[derive(Debug, Clone)]
+pub struct Intent {
+    /// The configuration.
+    pub config: Arc<Config>,
+    /// The VM list.
+    pub list: Arc<List>,
+    /// Place of the configuration in the order.
+    pub config_order: Order,
+    /// Place of the VM list in the order.
+    pub list_order: Order,
+}
+
+/// What operators and peers see of one kind of document.
+#[derive(Debug, Clone)]
+pub struct View<T> {
+    /// The document in force.
+    pub accepted: Option<Accepted<T>>,
+    /// The newest refused document, until a later one is accepted or the platform serves the one in
+    /// force again.
+    pub refusal: Option<Refusal>,
+    /// Place of the document that the platform serves, if that is older than the one in force.
+    pub stale: Option<Order>,
+    /// Places of the documents refused since the last one was accepted, which need not be fetched
+    /// again.
+    pub refused: SmallVec<[Order; MAX_REFUSED]>,
+}
+
+/// When the platform was read, for both documents: each time is that of the document read longer
+/// ago. Times are those at which the answered reads were sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Platform {
+    /// The platform answered, with whatever document.
+    pub answered: Option<Instant>,
+    /// The platform answered with documents not older than those in force.
+    pub current: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    config: Slot<Config>,
+    list: Slot<List>,
+    snapshot: Option<Arc<Intent>>,
+}
+
+/// The documents in force, shared by all workers.
+///
+/// Offers are rare (a few per minute) and may do some work under the lock; [`Table::snapshot`] only
+/// clones an `Arc`.
+#[derive(Debug)]
+pub struct Table {
+    state: Mutex<State>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Table {
+    /// Creates a table without documents.
+    pub fn new() -> Self {
+        Self { state: Mutex::new(Rank::Intent, State::default()) }
+    }
+
+    /// The documents in force, once there are both.
+    pub fn snapshot(&self) -> Option<Arc<Intent>> {
+        self.state.lock().snapshot.clone()
+    }
+
+    /// Decides about a configuration, which is valid or has the reason why it is not. `bytes` is
+    /// the document as published. Events are recorded after the lock is released.
+    pub fn offer_config(
+        &self,
+        now: Instant,
+        order: Order,
+        document: Result<Config, String>,
+        bytes: &[u8],
+        source: Source<'_>,
+        journal: &impl Journal,
+    ) -> Decision {
+        let bytes = Arc::from(bytes);
+        self.offer(Offer { now, order, document, bytes, source }, journal)
+    }
+
+    /// Decides about a VM list; see [`Table::offer_config`].
+    pub fn offer_list(
+        &self,
+        now: Instant,
+        order: Order,
+        document: Result<List, String>,
+        bytes: &[u8],
+        source: Source<'_>,
+        journal: &impl Journal,
+    ) -> Decision {
+        let bytes = Arc::from(bytes);
+        self.offer(Offer { now, order, document, bytes, source }, journal)
+    }
+
+    /// The platform answered a read sent at `asked` that the configuration is as it was in its last
+    /// answer.
+    pub fn unchanged_config(&self, asked: Instant, journal: &impl Journal) {
+        self.unchanged::<Config>(asked, journal);
+    }
+
+    /// The platform answered a read sent at `asked` that the VM list is as it was in its last
+    /// answer.
+    pub fn unchanged_list(&self, asked: Instant, journal: &impl Journal) {
+        self.unchanged::<List>(asked, journal);
+    }
+
+    /// The platform answered a read sent at `asked` that it has no configuration. The one in force
+    /// stays.
+    pub fn missing_config(&self, asked: Instant) {
+        self.state.lock().config.missing(asked);
+    }
+
+    /// The platform answered a read sent at `asked` that it has no VM list. The one in force stays.
+    pub fn missing_list(&self, asked: Instant) {
+        self.state.lock().list.missing(asked);
+    }
+
+    /// The places of the configuration and the VM list in force.
+    pub fn orders(&self) -> (Option<Order>, Option<Order>) {
+        let state = self.state.lock();
+        (state.config.order(), state.list.order())
+    }
+
+    /// The configuration in force and what was refused.
+    pub fn config(&self) -> View<Config> {
+        view(&self.state.lock().config)
+    }
+
+    /// The VM list in force and what was refused.
+    pub fn list(&self) -> View<List> {
+        view(&self.state.lock().list)
+    }
+
+    /// When the platform was read.
+    pub fn platform(&self) -> Platform {
+        let state = self.state.lock();
+        let (config, list) = (state.config.served(), state.list.served());
+        // `None` is less than any time, so the minimum is `None` until both documents were read.
+        Platform {
+            answered: config.answered.min(list.answered),
+            current: config.current.min(list.current),
+        }
+    }
+
+    fn offer<T: Kept>(&self, offer: Offer<'_, T>, journal: &impl Journal) -> Decision {
+        let mut state = self.state.lock();
+        let change = T::slot(&mut state).offer(offer);
+        let outdated = match change.decision {
+            Decision::Accepted => state.refresh(),
+            _ => None,
+        };
+        drop(state);
+        for event in change.events {
+            journal.record(event);
+        }
+        // Freed here, after the lock is released.
+        drop((change.replaced, change.unused, outdated));
+        change.decision
+    }
+
+    fn unchanged<T: Kept>(&self, asked: Instant, journal: &impl Journal) {
+        let event = T::slot(&mut self.state.lock()).answered(asked);
+        if let Some(event) = event {
+            journal.record(event);
+        }
+    }
+}
+
+impl State {
+    /// Builds the snapshot again and returns the previous one.
+    fn refresh(&mut self) -> Option<Arc<Intent>> {
+        let config = self.config.accepted()?;
+        let list = self.list.accepted()?;
+        self.snapshot.replace(Arc::new(Intent {
+            config: Arc::clone(&config.value),
+            list: Arc::clone(&list.value),
+            config_order: config.order,
+            list_order: list.order,
+        }))
+    }
+}
+
+fn view<T>(slot: &Slot<T>) -> View<T> {
+    View {
+        accepted: slot.accepted().cloned(),
+        refusal: slot.refusal().cloned(),
+        stale: slot.stale(),
+        refused: slot.refused().clone(),
+    }
+}
+
+/// A kind of document that the table keeps.
+trait Kept: Document + Sized {
+    fn slot(state: &mut State) -> &mut Slot<Self>;
+}
+
+impl Kept for Config {
+    fn slot(state: &mut State) -> &mut Slot<Self> {
+        &mut state.config
+    }
+}
+
+impl Kept for List {
+    fn slot(state: &mut State) -> &mut Slot<Self> {
+        &mut state.list
+    }
+}
+
+impl Document for Config {
+    fn accepted(number: u64) -> Event {
+        Event::ConfigAccepted(number)
+    }
+
+    fn refused(number: u64, why: String) -> Event {
+        Event::ConfigRefused(number, why)
+    }
+
+    fn conflict(number: u64) -> Event {
+        Event::ConfigConflict(number)
+    }
+
+    fn stale(served: u64, in_force: u64) -> Event {
+        Event::ConfigStale(served, in_force)
+    }
+}
+
+impl Document for List {
+    fn accepted(number: u64) -> Event {
+        Event::ListAccepted(number)
+    }
+
+    fn refused(number: u64, why: String) -> Event {
+        Event::ListRefused(number, why)
+    }
+
+    fn conflict(number: u64) -> Event {
+        Event::ListConflict(number)
+    }
+
+    fn stale(served: u64, in_force: u64) -> Event {
+        Event::ListStale(served, in_force)
+    }
+}
--- a/crates/core/tests/event.rs
+++ b/crates/core/tests/event.rs
@@ -1,5 +1,7 @@
 //! Time line: stamps that respect cause and effect, and a ring that reports what it dropped.
 
+mod intent_support;
+
 use jackdawpin_core::event::Clock;
 use jackdawpin_core::event::Event;
 use jackdawpin_core::event::MAX_TEXT;
@@ -8,13 +10,9 @@
 use jackdawpin_core::event::Timeline;
 use jackdawpin_core::name;
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
-fn fixed(cases: u32) -> Config {
-    Config { cases, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..Config::default() }
-}
+use crate::intent_support::fixed;
 
 fn stamp(millis: u64, counter: u32) -> Stamp {
     Stamp { millis, counter }
--- /dev/null
+++ b/crates/core/tests/intent_support/mod.rs
@@ -0,0 +1,71 @@
+//! Parts that several tests use.
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+#![allow(clippy::unwrap_used, reason = "only tests use this module; their inputs are constants")]
+
+use std::sync::Mutex;
+
+use jackdawpin_core::config::Builder;
+use jackdawpin_core::config::Config;
+use jackdawpin_core::config::Policy;
+use jackdawpin_core::event::Event;
+use jackdawpin_core::member::List;
+use jackdawpin_core::member::Role;
+use jackdawpin_core::member::State;
+use jackdawpin_core::member::Vm;
+use jackdawpin_core::name;
+use jackdawpin_core::port::Journal;
+use jackdawpin_core::time::Instant;
+use proptest::test_runner::Config as Runner;
+use proptest::test_runner::RngSeed;
+
+/// Keeps the events in memory.
+#[derive(Debug, Default)]
+pub struct Events(Mutex<Vec<Event>>);
+
+impl Events {
+    /// Takes the events recorded since the last call.
+    pub fn take(&self) -> Vec<Event> {
+        std::mem::take(&mut self.0.lock().unwrap())
+    }
+}
+
+impl Journal for Events {
+    fn record(&self, event: Event) {
+        self.0.lock().unwrap().push(event);
+    }
+}
+
+/// A deterministic run of `cases` cases.
+pub fn fixed(cases: u32) -> Runner {
+    Runner { cases, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..Runner::default() }
+}
+
+/// A point in time, in milliseconds.
+pub fn at(millis: u64) -> Instant {
+    Instant::from_nanos(millis * 1_000_000)
+}
+
+pub fn vm(name: &str) -> name::Vm {
+    name::Vm::try_from(name).unwrap()
+}
+
+pub fn service(name: &str) -> name::Service {
+    name::Service::try_from(name).unwrap()
+}
+
+pub fn config(revision: u64) -> Config {
+    Builder::new(revision, Policy::default()).unwrap().build()
+}
+
+/// A list of entries; a leaving one has a `-` before its name.
+pub fn list(version: u64, entries: &[&str]) -> List {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let entry = |text: &&str| Vm {
+        name: vm(text.trim_start_matches('-')),
+        role: Role::Entry { caller: address, control: address },
+        domain: name::Domain::try_from("d1").unwrap(),
+        region: name::Region::try_from("r1").unwrap(),
+        state: if text.starts_with('-') { State::Leaving } else { State::Live },
+    };
+    List::new(version, entries.iter().map(entry).collect()).unwrap()
+}
