--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,9 +8,11 @@
 //! rank (see [`lock`]), and no lock is held while a future waits.
 
 pub mod config;
+pub mod control;
 pub mod event;
 pub mod flow;
 pub mod gate;
+pub mod intent;
 pub mod ledger;
 pub mod lock;
 pub mod member;
