--- /dev/null
+++ b/crates/core/src/control/beat.rs
@@ -0,0 +1,143 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+
+use super::Control;
+use super::Hello;
+use super::Kind;
+use crate::intent::Order;
+use crate::intent::Source;
+use crate::member::Capacity;
+use crate::member::Heartbeat;
+use crate::member::Origin;
+use crate::member::Role;
+use crate::name;
+use crate::port::Clock;
+use crate::port::Mesh;
+use crate::port::Ports;
+use crate::port::Reader;
+
+/// Time between two heartbeats to a peer. Three missed ones make it silent.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for the answer to a heartbeat, so that a round ends before the next one.
+const TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Longest wait for a document of a peer, which has up to 1 MB.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// An entry to exchange heartbeats with. A seed's name is not known before it answers.
+struct Other {
+    vm: Option<name::Vm>,
+    address: SocketAddr,
+}
+
+impl<O: Ports> Control<O> {
+    /// Exchanges heartbeats with all peers, once each interval.
+    pub(super) async fn beats(&self) {
+        loop {
+            let next = self.clock().now() + INTERVAL;
+            self.beat().await;
+            self.clock().sleep_until(next).await;
+        }
+    }
+
+    /// Exchanges one heartbeat with each peer.
+    pub async fn beat(&self) {
+        let others = self.others();
+        join_all(others.iter().map(|other| self.greet(other))).await;
+    }
+
+    /// Takes over a heartbeat that a peer sent, and returns the one to answer it with.
+    pub fn greeted(&self, hello: Hello) -> Hello {
+        self.take(hello, Origin::Question);
+        self.hello()
+    }
+
+    /// What this entry says about itself.
+    pub fn hello(&self) -> Hello {
+        let now = self.clock().now();
+        let (config, list) = self.tables.intent.orders();
+        let gate = &self.tables.gate;
+        let capacity = self.tables.routes().iter().filter_map(|(service, route)| {
+            let room = route.pool().room(now);
+            let held = room.limit > 0;
+            held.then(|| Capacity { service: service.clone(), limit: room.limit, free: room.free })
+        });
+        let beat = Heartbeat {
+            incarnation: self.identity.incarnation,
+            clock: self.tables.timeline.stamp(self.clock().wall_millis()),
+            ready: gate.admits(now).is_ok(),
+            leaving: gate.is_leaving(),
+            config,
+            list,
+            capacity: capacity.collect(),
+        };
+        Hello { from: self.identity.vm.clone(), beat }
+    }
+
+    async fn greet(&self, other: &Other) {
+        let asked = self.clock().now();
+        let answer = self.ports.peer().heartbeat(other.address, &self.hello(), TIMEOUT).await;
+        if let Some(vm) = &other.vm {
+            self.tables.peers.tried(vm);
+        }
+        let Some(answer) = answer else {
+            return;
+        };
+        let from = answer.from.clone();
+        let (config, list) = (answer.beat.config, answer.beat.list);
+        self.take(answer, Origin::Answer { asked });
+        self.fetch(Kind::Config, config, other.address, &from).await;
+        self.fetch(Kind::List, list, other.address, &from).await;
+    }
+
+    fn take(&self, hello: Hello, origin: Origin) {
+        let now = self.clock().now();
+        self.tables.timeline.receive(self.clock().wall_millis(), hello.beat.clock);
+        self.tables.peers.heard(now, &hello.from, hello.beat, origin, &self.journal());
+        self.changed.notify_one();
+    }
+
+    /// Fetches a document that a peer has in force if it comes after the one in force here.
+    async fn fetch(&self, kind: Kind, order: Option<Order>, address: SocketAddr, from: &name::Vm) {
+        let Some(order) = order else {
+            return;
+        };
+        if !self.wants(kind, order) {
+            return;
+        }
+        let Some(bytes) = self.ports.peer().document(address, kind, FETCH_TIMEOUT).await else {
+            return;
+        };
+        let number = self.ports.reader().number(kind, &bytes);
+        self.offer(kind, Order::of(number, &bytes), &bytes, Source::Peer(from));
+    }
+
+    /// Whether a document comes after the one in force and was not refused.
+    fn wants(&self, kind: Kind, order: Order) -> bool {
+        let (config, list) = self.tables.intent.orders();
+        match kind {
+            Kind::Config => {
+                config < Some(order) && !self.tables.intent.config().refused.contains(&order)
+            }
+            Kind::List => list < Some(order) && !self.tables.intent.list().refused.contains(&order),
+        }
+    }
+
+    /// The entries of the VM list; before there is one, the seeds.
+    fn others(&self) -> Vec<Other> {
+        let Some(intent) = self.tables.intent.snapshot() else {
+            return self.seeds.iter().map(|seed| Other { vm: None, address: *seed }).collect();
+        };
+        let vms = intent.list.vms().iter().filter(|vm| vm.name != self.identity.vm);
+        let other = |vm: &crate::member::Vm| match &vm.role {
+            Role::Entry { control, .. } => {
+                Some(Other { vm: Some(vm.name.clone()), address: *control })
+            }
+            Role::Server { .. } => None,
+        };
+        vms.filter_map(other).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/holding.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::config::Config;
+use crate::member::List;
+use crate::member::Role;
+use crate::member::State;
+use crate::member::Vm;
+use crate::name;
+use crate::pool::Spec;
+use crate::rank;
+
+/// The servers of a service that an entry holds.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Holding {
+    /// The servers, those included that receive no new work.
+    pub specs: Vec<Spec>,
+    /// Whether any server of the service may receive work, whichever entry holds it.
+    pub eligible: bool,
+}
+
+/// Which servers the entry `own` holds, per service of the configuration. `available` says which
+/// entries may hold servers.
+pub fn holdings(
+    config: &Config,
+    list: &List,
+    own: &name::Vm,
+    available: impl Fn(&name::Vm) -> bool,
+) -> BTreeMap<name::Service, Holding> {
+    let table = rank::Table::new(list);
+    let mut holdings: BTreeMap<name::Service, Holding> =
+        config.services().map(|(name, _)| (name.clone(), Holding::default())).collect();
+    for vm in list.vms() {
+        let Role::Server { service, address } = &vm.role else {
+            continue;
+        };
+        let Some(holding) = holdings.get_mut(service) else {
+            continue;
+        };
+        let out = excluded(config, service, vm);
+        holding.eligible |= out.is_none();
+        let held = table.holder(vm, &available).is_some_and(|holder| holder.name == *own);
+        let policy = config.policy(service.as_str(), &vm.name, &vm.domain);
+        if let (true, Some(policy)) = (held, policy) {
+            holding.specs.push(Spec {
+                vm: vm.name.clone(),
+                address: *address,
+                domain: vm.domain.clone(),
+                policy,
+                out,
+            });
+        }
+    }
+    holdings
+}
+
+/// Why the server receives no new work.
+fn excluded(config: &Config, service: &name::Service, vm: &Vm) -> Option<Arc<str>> {
+    if vm.state == State::Leaving {
+        return Some("the VM list says that it is leaving".into());
+    }
+    let reason = config.out_reason(service.as_str(), &vm.name, &vm.domain)?;
+    Some(reason.as_str().into())
+}
--- /dev/null
+++ b/crates/core/src/control/lease.rs
@@ -0,0 +1,129 @@
+use std::time::Duration;
+
+use futures_util::future::join_all;
+
+use super::Claim;
+use super::Control;
+use super::Grant;
+use crate::event::Event;
+use crate::flow::Route;
+use crate::intent::Intent;
+use crate::lease::Batch;
+use crate::lease::Claimant;
+use crate::lease::Target;
+use crate::port::Clock;
+use crate::port::Mesh;
+use crate::port::Ports;
+use crate::rank;
+
+/// Time between two looks at which claims are due.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest wait for a witness, less than the time between two renewals.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+impl<O: Ports> Control<O> {
+    /// Keeps claims on servers that are not warm, at each interval and when one becomes cold.
+    pub(super) async fn leases(&self) {
+        loop {
+            self.claim().await;
+            let next = self.clock().now() + INTERVAL;
+            tokio::select! {
+                () = self.clock().sleep_until(next) => {}
+                () = self.tables.unconfirmed.notified() => {}
+            }
+        }
+    }
+
+    /// Claims or renews what is due and waits for the witnesses.
+    pub async fn claim(&self) {
+        let Some(intent) = self.tables.intent.snapshot() else {
+            return;
+        };
+        let batches = self.begin(&intent);
+        self.confirm();
+        join_all(batches.iter().map(|batch| self.ask(&intent, batch))).await;
+    }
+
+    /// Answers the claim of another entry.
+    pub fn claimed(&self, claim: &Claim<'_>) -> Grant {
+        let wall = self.clock().wall_millis();
+        self.tables.timeline.receive(wall, claim.clock);
+        let claimant = Claimant {
+            name: claim.claimant,
+            incarnation: claim.incarnation,
+            round: claim.round,
+        };
+        let mut leases = self.leases.lock();
+        let now = self.clock().now();
+        let granted = leases.answer(now, claimant, claim.targets, claim.released);
+        drop(leases);
+        let clock = self.tables.timeline.stamp(wall);
+        Grant { witness: self.identity.vm.clone(), clock, granted }
+    }
+
+    fn begin(&self, intent: &Intent) -> Vec<Batch> {
+        let table = rank::Table::new(&intent.list);
+        let routes = self.tables.routes();
+        let targets = routes.iter().flat_map(|(service, route)| {
+            let target = |server| Target { service: service.clone(), server };
+            route.pool().unconfirmed().into_iter().map(target)
+        });
+        let wanted: Vec<_> = targets
+            .filter_map(|target| {
+                let vm = intent.list.vm(target.server.as_str())?;
+                Some((target, table.witnesses(vm)))
+            })
+            .collect();
+        let now = self.clock().now();
+        self.leases.lock().begin(now, wanted.iter().map(|(target, vms)| (target, vms)))
+    }
+
+    async fn ask(&self, intent: &Intent, batch: &Batch) {
+        let Some(address) = intent.list.control(&batch.witness) else {
+            return;
+        };
+        let claim = Claim {
+            claimant: &self.identity.vm,
+            incarnation: self.identity.incarnation,
+            round: batch.round,
+            clock: self.tables.timeline.stamp(self.clock().wall_millis()),
+            targets: &batch.claimed,
+            released: &batch.released,
+        };
+        let Some(grant) = self.ports.peer().claim(address, &claim, TIMEOUT).await else {
+            return;
+        };
+        self.tables.timeline.receive(self.clock().wall_millis(), grant.clock);
+        self.leases.lock().granted(batch, grant.witness.as_str(), &grant.granted);
+        self.confirm();
+    }
+
+    /// Tells the pools which claims are confirmed, and until when.
+    fn confirm(&self) {
+        let now = self.clock().now();
+        let leases = self.leases.lock();
+        let claims: Vec<_> = leases
+            .claims()
+            .targets()
+            .map(|target| (target.clone(), leases.valid_until(target, now)))
+            .collect();
+        drop(leases);
+        let routes = self.tables.routes();
+        for (target, until) in claims {
+            let Some(route) = routes.get(target.service.as_str()) else {
+                continue;
+            };
+            self.set_claim(&route, target, until);
+        }
+    }
+
+    fn set_claim(&self, route: &Route, target: Target, until: Option<crate::time::Instant>) {
+        let now = self.clock().now();
+        match route.pool().claim(now, &target.server, until) {
+            Some(true) => self.record(Event::Claimed(target.service, target.server)),
+            Some(false) => self.record(Event::ClaimLost(target.service, target.server)),
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/reconcile.rs
@@ -0,0 +1,87 @@
+use std::sync::Arc;
+
+use super::Control;
+use super::holding::Holding;
+use super::holding::holdings;
+use crate::event::Event;
+use crate::flow::Route;
+use crate::flow::Routes;
+use crate::intent::Order;
+use crate::member::List;
+use crate::name;
+use crate::pool::Held;
+use crate::port::Clock;
+use crate::port::Ports;
+use crate::time::Instant;
+
+/// What the current routes were derived from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Basis {
+    config: Order,
+    list: Order,
+    available: Vec<name::Vm>,
+}
+
+impl<O: Ports> Control<O> {
+    /// Derives routes and held servers from the documents in force and the available entries, if
+    /// either has changed.
+    pub fn reconcile(&self) {
+        let now = self.clock().now();
+        let Some(intent) = self.tables.intent.snapshot() else {
+            return;
+        };
+        let basis = Basis {
+            config: intent.config_order,
+            list: intent.list_order,
+            available: self.available(&intent.list, now),
+        };
+        if self.basis.lock().replace(basis.clone()).as_ref() == Some(&basis) {
+            return;
+        }
+        let own = &self.identity.vm;
+        let available = |vm: &name::Vm| basis.available.contains(vm);
+        let holdings = holdings(&intent.config, &intent.list, own, available);
+        self.tables.peers.listed(now, &intent.list);
+        let previous = self.tables.routes();
+        let mut routes = Vec::new();
+        for (name, settings) in intent.config.services() {
+            let before = previous.get(name.as_str());
+            let empty = Holding::default();
+            let holding = holdings.get(name).unwrap_or(&empty);
+            let route = Route::new(name, settings, holding.eligible, before.as_deref());
+            self.report(name, &route.pool().hold(now, &holding.specs));
+            routes.push((name.clone(), Arc::new(route)));
+        }
+        let routes = Routes::new(routes, &intent.list);
+        for (name, route) in previous.iter().filter(|(name, _)| routes.get(name.as_str()).is_none()) {
+            self.report(name, &route.pool().hold(now, &[]));
+        }
+        self.tables.set_routes(Arc::new(routes));
+        self.tables.unconfirmed.notify_one();
+    }
+
+    /// The live entries that may hold servers, in the order of the list.
+    fn available(&self, list: &List, now: Instant) -> Vec<name::Vm> {
+        let own = &self.identity.vm;
+        let leaving = self.tables.gate.is_leaving();
+        list.live_entries()
+            .filter(|vm| match vm.name == *own {
+                true => !leaving,
+                false => self.tables.peers.available(&vm.name, now),
+            })
+            .map(|vm| vm.name.clone())
+            .collect()
+    }
+
+    fn report(&self, service: &name::Service, held: &Held) {
+        let event = |vm: &name::Vm, event: fn(name::Service, name::Vm) -> Event| {
+            self.record(event(service.clone(), vm.clone()));
+        };
+        held.gained.iter().for_each(|vm| event(vm, Event::Held));
+        held.lost.iter().for_each(|vm| event(vm, Event::Released));
+        held.included.iter().for_each(|vm| event(vm, Event::Included));
+        for (vm, why) in &held.excluded {
+            self.record(Event::Excluded(service.clone(), vm.clone(), why.to_string()));
+        }
+    }
+}
--- a/crates/core/src/flow/address.rs
+++ b/crates/core/src/flow/address.rs
@@ -4,9 +4,7 @@
 use super::Router;
 use crate::outcome::Refusal;
 use crate::port::Clock;
-use crate::port::Peer;
-use crate::port::Random;
-use crate::port::Upstream;
+use crate::port::Ports;
 
 /// An address that callers may use, with its share of the requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,3 +23,47 @@
     /// How long callers may keep them.
     pub ttl: Duration,
 }
+
+impl<O: Ports> Router<O> {
+    /// The entries that hold servers of the service, weighted by what they can take on. If none is
+    /// known to hold any, all entries that take work, with equal weights.
+    ///
+    /// # Errors
+    ///
+    /// Why this entry cannot tell.
+    pub fn addresses(&self, service: &str) -> Result<Addresses, Refusal> {
+        let now = self.clock().now();
+        self.tables.gate.admits(now)?;
+        let routes = self.tables.routes();
+        let route = routes.get(service).ok_or(Refusal::UnknownService)?;
+        let peers = &self.tables.peers;
+        let own = peers.own();
+        let weigh = |vm, weight| Some(Address { address: routes.entry(vm)?.caller, weight });
+        let mut addresses: Vec<Address> = peers
+            .holding(service, now)
+            .iter()
+            .filter_map(|room| weigh(&room.vm, room.limit))
+            .collect();
+        let held = route.pool().room(now).limit;
+        if held > 0 && !self.tables.gate.is_leaving() {
+            addresses.extend(weigh(own, held));
+        }
+        if addresses.is_empty() {
+            let available = peers.all_available(now);
+            addresses.extend(available.iter().filter_map(|vm| weigh(vm, 1)));
+        }
+        Ok(Addresses { addresses, ttl: route.settings().policy.address_ttl })
+    }
+
+    /// Largest body of a request to the service, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Why this entry would refuse the request whatever its body.
+    pub fn body_limit(&self, service: &str) -> Result<usize, Refusal> {
+        self.tables.gate.admits(self.clock().now())?;
+        let route = self.tables.routes().get(service).ok_or(Refusal::UnknownService)?;
+        let limit = route.settings().policy.body_limit;
+        Ok(usize::try_from(limit).unwrap_or(usize::MAX))
+    }
+}
--- a/crates/core/src/flow/admit.rs
+++ b/crates/core/src/flow/admit.rs
@@ -7,9 +7,8 @@
 use crate::ledger::Entry;
 use crate::outcome::Refusal;
 use crate::port::Clock;
-use crate::port::Peer;
+use crate::port::Ports;
 use crate::port::Random;
-use crate::port::Upstream;
 use crate::request::Content;
 use crate::request::Id;
 use crate::request::Request;
@@ -36,9 +35,9 @@
     pub(super) request: Request,
 }
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+impl<O: Ports> Router<O> {
     pub(super) fn admit(&self, submission: Submission) -> Result<Admission, Refusal> {
-        let now = self.clock.now();
+        let now = self.clock().now();
         self.tables.gate.admits(now)?;
         let route = self.tables.routes().get(&submission.service).ok_or(Refusal::UnknownService)?;
         let settings = route.settings();
@@ -69,9 +68,10 @@
         Ok(Admission { entry, route, request })
     }
 
-    fn new_id(&self) -> Id {
-        let high = u128::from(self.random.below(u64::MAX));
-        let low = u128::from(self.random.below(u64::MAX));
+    /// A new random id, for a request whose caller gave none.
+    pub fn new_id(&self) -> Id {
+        let high = u128::from(self.ports.random().below(u64::MAX));
+        let low = u128::from(self.ports.random().below(u64::MAX));
         Id::from_bits(high << 64 | low)
     }
 }
--- a/crates/core/src/flow/attempt.rs
+++ b/crates/core/src/flow/attempt.rs
@@ -13,7 +13,7 @@
 use crate::pool::Sample;
 use crate::port::Clock;
 use crate::port::Peer;
-use crate::port::Random;
+use crate::port::Ports;
 use crate::port::Upstream;
 use crate::request::Attempt;
 
@@ -33,12 +33,12 @@
 impl<C: Clock> Drop for Hold<'_, C> {
     fn drop(&mut self) {
         if let Some(permit) = self.permit.take() {
-            self.pool.abandon(self.clock.now(), permit);
+            self.pool.abandon(self.clock().now(), permit);
         }
     }
 }
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+impl<O: Ports> Router<O> {
     /// Sends an attempt to a held server.
     pub(super) async fn dispatch(
         &self,
@@ -47,7 +47,7 @@
         mut attempt: Attempt<'_>,
     ) -> Evidence {
         let pool = route.pool();
-        let now = self.clock.now();
+        let now = self.clock().now();
         if let Some(until) = permit.until() {
             attempt.deadline = attempt.deadline.min(until);
         }
@@ -56,31 +56,36 @@
             return Evidence::NotRun(NotRun::Refused(refusal));
         }
         let address = permit.address();
-        let mut hold = Hold { pool, clock: &self.clock, permit: Some(permit) };
-        let reply = self.upstream.send(address, attempt).await;
-        let end = self.clock.now();
+        let mut hold = Hold { pool, clock: self.clock(), permit: Some(permit) };
+        let reply = self.ports.upstream().send(address, attempt).await;
+        let end = self.clock().now();
         let sample =
             Sample { kind: kind(&reply.evidence), latency: end.since(now), report: reply.report };
         if let Some(permit) = hold.permit.take()
             && let Some(notice) = pool.finish(end, permit, &sample)
         {
-            route.notify(notice);
+            self.tables.notice(&self.journal(), pool.service(), notice);
         }
         reply.evidence
     }
 
     /// Sends an attempt to a peer that reported room.
     pub(super) async fn forward(&self, lead: &Lead, attempt: Attempt<'_>) -> Evidence {
-        let now = self.clock.now();
+        let now = self.clock().now();
         if let Err(refusal) = self.tables.gate.dispatches(now) {
             return Evidence::NotRun(NotRun::Refused(refusal));
         }
-        self.peer.forward(&lead.vm, lead.address, attempt).await
+        let service = &attempt.request.service;
+        let forwarded = self.ports.peer().forward(&lead.vm, lead.address, attempt).await;
+        if let Some(free) = forwarded.free {
+            self.tables.peers.corrected(&lead.vm, service, free);
+        }
+        forwarded.evidence
     }
 
     /// Checks again what a pause since the place was taken may have changed.
     fn recheck(&self, permit: &Permit, attempt: &Attempt<'_>) -> Result<(), Refusal> {
-        let now = self.clock.now();
+        let now = self.clock().now();
         self.tables.gate.dispatches(now)?;
         if now >= attempt.request.deadline {
             return Err(Refusal::Deadline);
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -20,28 +20,40 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
+use crate::control::Recorder;
+use crate::event::Event;
+use crate::event::Timeline;
 use crate::gate::Gate;
+use crate::intent;
 use crate::ledger::Ledger;
 use crate::lock::Mutex;
 use crate::lock::Rank;
 use crate::member::Peers;
+use crate::name;
 use crate::outcome::Evidence;
 use crate::outcome::NotRun;
 use crate::outcome::Outcome;
 use crate::outcome::Refusal;
+use crate::pool::Change;
+use crate::pool::Notice;
 use crate::port::Clock;
-use crate::port::Peer;
-use crate::port::Random;
-use crate::port::Upstream;
+use crate::port::Journal;
+use crate::port::Ports;
 use crate::request::Attempt;
 use crate::request::Request;
 
 pub use self::address::Address;
 pub use self::address::Addresses;
 pub use self::admit::Submission;
+pub use self::route::Contact;
 pub use self::route::Route;
 pub use self::route::Routes;
 
+/// Events kept for the time line, some hundred kilobytes.
+const EVENTS: usize = 4_096;
+
 /// What happened to a request besides its outcome, for metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Trace {
@@ -71,10 +83,16 @@
 pub struct Tables {
     /// Whether new work is taken.
     pub gate: Gate,
+    /// The documents in force.
+    pub intent: intent::Table,
     /// The other entries.
     pub peers: Peers,
     /// Requests in flight and their outcomes.
     pub ledger: Arc<Ledger>,
+    /// The time line.
+    pub timeline: Timeline,
+    /// Told when a held server has no confirmed claim and needs one.
+    pub unconfirmed: Notify,
     routes: Mutex<Arc<Routes>>,
 }
 
@@ -83,8 +101,11 @@
     pub fn new(peers: Peers) -> Self {
         Self {
             gate: Gate::default(),
+            intent: intent::Table::new(),
             peers,
             ledger: Arc::default(),
+            timeline: Timeline::new(EVENTS),
+            unconfirmed: Notify::new(),
             routes: Mutex::new(Rank::Intent, Arc::default()),
         }
     }
@@ -94,6 +115,22 @@
         self.routes.lock().clone()
     }
 
+    /// Records what happened to a held server.
+    pub fn notice(&self, journal: &impl Journal, service: &name::Service, notice: Notice) {
+        let (service, vm) = (service.clone(), notice.vm);
+        match notice.change {
+            Change::Cold(why) => {
+                journal.record(Event::Cold(service, vm, why));
+                self.unconfirmed.notify_one();
+            }
+            Change::Warm => journal.record(Event::Warm(service, vm)),
+            Change::Draining => {
+                let why = "the server is draining".to_owned();
+                journal.record(Event::Excluded(service, vm, why));
+            }
+        }
+    }
+
     /// Replaces the services that requests can go to.
     pub fn set_routes(&self, routes: Arc<Routes>) {
         *self.routes.lock() = routes;
@@ -102,18 +139,24 @@
 
 /// Serves requests with the given ports.
 #[derive(Debug)]
-pub struct Router<C, R, U, P> {
+pub struct Router<O> {
     tables: Arc<Tables>,
-    clock: C,
-    random: R,
-    upstream: U,
-    peer: P,
+    ports: Arc<O>,
 }
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+impl<O: Ports> Router<O> {
     /// Creates a router.
-    pub fn new(tables: Arc<Tables>, clock: C, random: R, upstream: U, peer: P) -> Self {
-        Self { tables, clock, random, upstream, peer }
+    pub fn new(tables: Arc<Tables>, ports: Arc<O>) -> Self {
+        Self { tables, ports }
+    }
+
+    /// The clock.
+    pub fn clock(&self) -> &O::Clock {
+        self.ports.clock()
+    }
+
+    pub(crate) fn journal(&self) -> Recorder<'_, O::Clock> {
+        Recorder { tables: &self.tables, clock: self.clock() }
     }
 
     /// The tables.
@@ -138,7 +181,7 @@
     /// Dispatches a forwarded attempt at once, or refuses it. Also returns the number of requests
     /// of the service that could be dispatched after it.
     pub async fn serve_forwarded(&self, request: &Request, number: u32) -> (Evidence, u32) {
-        let now = self.clock.now();
+        let now = self.clock().now();
         if let Err(refusal) = self.tables.gate.admits(now) {
             return (Evidence::NotRun(NotRun::Refused(refusal)), 0);
         }
@@ -152,6 +195,6 @@
             }
             None => Evidence::NotRun(NotRun::Refused(Refusal::Full)),
         };
-        (evidence, route.pool().room(self.clock.now()).free)
+        (evidence, route.pool().room(self.clock().now()).free)
     }
 }
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -3,12 +3,12 @@
 use super::Route;
 use super::Router;
 use super::Trace;
+use crate::name;
 use crate::outcome::Refusal;
+use crate::pool::Lead;
 use crate::pool::Place;
 use crate::port::Clock;
-use crate::port::Peer;
-use crate::port::Random;
-use crate::port::Upstream;
+use crate::port::Ports;
 use crate::request::Request;
 use crate::time::Instant;
 
@@ -22,7 +22,7 @@
 /// Longest time by which a request is refused before its deadline.
 const MAX_REFUSE_EARLY: Duration = Duration::from_millis(20);
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+impl<O: Ports> Router<O> {
     /// Finds a place for the next attempt, and waits for one if need be.
     pub(super) async fn place(
         &self,
@@ -31,7 +31,7 @@
         misses: u32,
         trace: &mut Trace,
     ) -> Result<Place, Refusal> {
-        let now = self.clock.now();
+        let now = self.clock().now();
         if now >= request.deadline {
             return Err(Refusal::Deadline);
         }
@@ -39,15 +39,27 @@
             return Ok(Place::Local(permit));
         }
         if misses < MAX_MISSES
-            && let Some(lead) = self.tables.peers.lead(now, &request.service)
+            && let Some(lead) = self.lead(now, &request.service)
         {
             return Ok(Place::Remote(lead));
         }
         let place = self.wait(route, request, now).await;
-        trace.waited += self.clock.now().since(now);
+        trace.waited += self.clock().now().since(now);
         place
     }
 
+    /// The peer that reports most room for the service.
+    fn lead(&self, now: Instant, service: &name::Service) -> Option<Lead> {
+        let routes = self.tables.routes();
+        let rooms = self.tables.peers.capacity(service.as_str(), now);
+        let lead = rooms.into_iter().find_map(|room| {
+            let address = routes.entry(&room.vm)?.control;
+            Some(Lead { vm: room.vm, address })
+        })?;
+        self.tables.peers.spent(&lead.vm, service);
+        Some(lead)
+    }
+
     async fn wait(&self, route: &Route, request: &Request, now: Instant) -> Result<Place, Refusal> {
         let queue = route.settings().policy.queue;
         let mut ticket = route.pool().wait(request.idempotent, queue).ok_or(Refusal::QueueFull)?;
@@ -55,7 +67,7 @@
         let early = (left / REFUSE_EARLY).min(MAX_REFUSE_EARLY);
         tokio::select! {
             place = ticket.place() => place.ok_or(Refusal::NoServer),
-            () = self.clock.sleep_until(request.deadline.before(early)) => Err(Refusal::Deadline),
+            () = self.clock().sleep_until(request.deadline.before(early)) => Err(Refusal::Deadline),
         }
     }
 }
--- a/crates/core/src/flow/retry.rs
+++ b/crates/core/src/flow/retry.rs
@@ -3,6 +3,7 @@
 use super::Route;
 use super::Router;
 use super::Trace;
+use crate::outcome::Answer;
 use crate::outcome::Doubt;
 use crate::outcome::Evidence;
 use crate::outcome::NotRun;
@@ -10,9 +11,7 @@
 use crate::outcome::Refusal;
 use crate::pool::Place;
 use crate::port::Clock;
-use crate::port::Peer;
-use crate::port::Random;
-use crate::port::Upstream;
+use crate::port::Ports;
 use crate::request::Attempt;
 use crate::request::Request;
 use crate::time::Instant;
@@ -32,19 +31,22 @@
     misses: u32,
     /// Set once an attempt may have run; the request can then no longer be refused as not run.
     doubt: Option<Doubt>,
+    /// The last error answer that another attempt was to improve on.
+    answer: Option<Answer>,
 }
 
 impl Progress {
     /// The outcome if no further attempt is made.
-    fn give_up(&self, refusal: Refusal) -> Outcome {
-        match self.doubt {
-            Some(doubt) => Outcome::Unknown(doubt),
-            None => Outcome::Refused(refusal),
+    fn give_up(&mut self, refusal: Refusal) -> Outcome {
+        match (self.answer.take(), self.doubt) {
+            (Some(answer), _) => Outcome::Answered(answer),
+            (None, Some(doubt)) => Outcome::Unknown(doubt),
+            (None, None) => Outcome::Refused(refusal),
         }
     }
 }
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+impl<O: Ports> Router<O> {
     /// Sends attempts until the request has an outcome.
     pub(super) async fn run(&self, route: &Route, request: &Request, trace: &mut Trace) -> Outcome {
         let mut progress = Progress::default();
@@ -67,9 +69,10 @@
         place: Place,
         progress: &Progress,
         trace: &mut Trace,
-    ) -> Evidence {
+    ) -> (Evidence, bool) {
         trace.sent += 1;
-        let now = self.clock.now();
+        let local = matches!(place, Place::Local(_));
+        let now = self.clock().now();
         let patience = match &place {
             Place::Local(permit) => permit.patience,
             Place::Remote(_) => REMOTE_PATIENCE,
@@ -86,14 +89,14 @@
                 self.forward(&lead, attempt).await
             }
         };
-        trace.outside += self.clock.now().since(now);
-        evidence
+        trace.outside += self.clock().now().since(now);
+        (evidence, local)
     }
 
     /// Whether an attempt that may have run can be followed by another one.
     fn may_retry(&self, route: &Route, request: &Request, progress: &Progress) -> bool {
         let left = progress.tries + 1 < route.settings().policy.attempts;
-        request.idempotent && left && route.retries().lock().available()
+        request.idempotent && left && route.retries().lock().available() > 0
     }
 
     /// Turns what an attempt proves into an outcome, or `None` if another attempt may follow.
@@ -101,27 +104,27 @@
         &self,
         route: &Route,
         request: &Request,
-        evidence: Evidence,
+        (evidence, local): (Evidence, bool),
         progress: &mut Progress,
         trace: &mut Trace,
     ) -> Option<Outcome> {
-        let now = self.clock.now();
+        let now = self.clock().now();
         match evidence {
             Evidence::Ran(answer) => {
                 let better = request.idempotent && RETRYABLE.contains(&answer.status);
                 if better && self.retry(route, request, now, progress, trace) {
-                    progress.doubt = Some(Doubt::BadAnswer);
+                    progress.answer = Some(answer);
                     return None;
                 }
                 Some(Outcome::Answered(answer))
             }
-            Evidence::NotRun(NotRun::Refused(Refusal::Full)) => {
+            Evidence::NotRun(NotRun::Refused(refusal)) if local && refusal != Refusal::Full => {
+                Some(progress.give_up(refusal))
+            }
+            Evidence::NotRun(NotRun::Refused(_)) => {
                 progress.misses += 1;
                 None
             }
-            Evidence::NotRun(NotRun::Refused(refusal)) if refusal != Refusal::Leaving => {
-                Some(progress.give_up(refusal))
-            }
             Evidence::NotRun(_) => {
                 if self.retry(route, request, now, progress, trace) {
                     return None;
@@ -133,7 +136,7 @@
                 if request.idempotent && self.retry(route, request, now, progress, trace) {
                     return None;
                 }
-                Some(Outcome::Unknown(doubt))
+                Some(progress.give_up(Refusal::Attempts))
             }
         }
     }
@@ -149,7 +152,7 @@
     ) -> bool {
         progress.tries += 1;
         let left = progress.tries < route.settings().policy.attempts && now < request.deadline;
-        if !left || !route.retries().lock().spend() {
+        if !left || !route.retries().lock().take() {
             return false;
         }
         trace.retried += 1;
--- a/crates/core/src/flow/route.rs
+++ b/crates/core/src/flow/route.rs
@@ -1,9 +1,13 @@
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::config::Service;
 use crate::lock::Mutex;
 use crate::lock::Rank;
+use crate::member::List;
+use crate::member::Role;
+use crate::member::Vm;
 use crate::name;
 use crate::pool::Pool;
 use crate::retry::Budget;
@@ -69,22 +73,51 @@
 #[derive(Debug, Default)]
 pub struct Routes {
     services: HashMap<name::Service, Arc<Route>>,
+    entries: HashMap<name::Vm, Contact>,
+}
+
+/// Where an entry accepts connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Contact {
+    /// Of callers.
+    pub caller: SocketAddr,
+    /// Of other entries.
+    pub control: SocketAddr,
 }
 
 impl Routes {
+    /// Creates the routes to `services`, with the entries of `list`.
+    pub fn new(
+        services: impl IntoIterator<Item = (name::Service, Arc<Route>)>,
+        list: &List,
+    ) -> Self {
+        let entry = |vm: &Vm| match vm.role {
+            Role::Entry { caller, control } => Some((vm.name.clone(), Contact { caller, control })),
+            Role::Server { .. } => None,
+        };
+        Self {
+            services: services.into_iter().collect(),
+            entries: list.vms().iter().filter_map(entry).collect(),
+        }
+    }
+
     /// The route of a service.
     pub fn get(&self, service: &str) -> Option<Arc<Route>> {
         self.services.get(service).cloned()
     }
 
+    /// Where an entry of the VM list accepts connections.
+    pub fn entry(&self, vm: &name::Vm) -> Option<Contact> {
+        self.entries.get(vm).copied()
+    }
+
+    /// The entries of the VM list.
+    pub fn entries(&self) -> impl Iterator<Item = (&name::Vm, Contact)> {
+        self.entries.iter().map(|(vm, contact)| (vm, *contact))
+    }
+
     /// All routes.
     pub fn iter(&self) -> impl Iterator<Item = (&name::Service, &Arc<Route>)> {
         self.services.iter()
     }
 }
-
-impl FromIterator<(name::Service, Arc<Route>)> for Routes {
-    fn from_iter<I: IntoIterator<Item = (name::Service, Arc<Route>)>>(routes: I) -> Self {
-        Self { services: routes.into_iter().collect() }
-    }
-}
--- a/crates/core/src/flow/scout.rs
+++ b/crates/core/src/flow/scout.rs
@@ -4,11 +4,13 @@
 
 use super::Route;
 use super::Router;
+use crate::name;
 use crate::pool::Lead;
 use crate::port::Clock;
 use crate::port::Peer;
+use crate::port::Ports;
 use crate::port::Random;
-use crate::port::Upstream;
+use crate::time::Instant;
 
 /// Scouts per service, and so the number of peers asked for a vacancy at once.
 pub const SCOUTS: usize = 3;
@@ -19,7 +21,7 @@
 /// Pause after a peer answered at once that it has no room, or could not be asked.
 const PAUSE: Duration = Duration::from_millis(20);
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer> Router<C, R, U, P> {
+impl<O: Ports> Router<O> {
     /// Looks for room at peers while requests wait for the service, until cancelled.
     pub async fn scout(&self, route: &Route, cancel: &CancellationToken) {
         let search = async {
@@ -35,21 +37,26 @@
     }
 
     async fn search(&self, route: &Route) {
-        let start = self.clock.now();
+        let start = self.clock().now();
         let service = route.pool().service();
-        let holders = self.tables.peers.holders(start, service);
-        let index = self.random.below(holders.len() as u64) as usize;
-        let free = match holders.get(index) {
-            Some(holder) => self.ask(holder, route, start + WAIT).await,
+        let holders = self.tables.peers.holding(service.as_str(), start);
+        let index = self.ports.random().below(holders.len() as u64) as usize;
+        let free = match holders.get(index).and_then(|room| self.contact(&room.vm)) {
+            Some(holder) => self.ask(&holder, route, start + WAIT).await,
             None => 0,
         };
         if free == 0 {
-            self.clock.sleep_until(start + PAUSE).await;
+            self.clock().sleep_until(start + PAUSE).await;
         }
     }
 
-    async fn ask(&self, holder: &Lead, route: &Route, deadline: crate::time::Instant) -> u32 {
-        let free = self.peer.vacancy(holder.address, route.pool().service(), deadline).await;
+    fn contact(&self, vm: &name::Vm) -> Option<Lead> {
+        let address = self.tables.routes().entry(vm)?.control;
+        Some(Lead { vm: vm.clone(), address })
+    }
+
+    async fn ask(&self, holder: &Lead, route: &Route, deadline: Instant) -> u32 {
+        let free = self.ports.peer().vacancy(holder.address, route.pool().service(), deadline).await;
         for _ in 0..free {
             if !route.pool().lead(holder) {
                 break;
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -106,6 +106,14 @@
         self.vms.iter().find(|vm| vm.name.as_str() == name)
     }
 
+    /// The control address of an entry.
+    pub fn control(&self, name: &name::Vm) -> Option<SocketAddr> {
+        match self.vm(name.as_str())?.role {
+            Role::Entry { control, .. } => Some(control),
+            Role::Server { .. } => None,
+        }
+    }
+
     /// The entries that are not leaving.
     pub fn live_entries(&self) -> impl Iterator<Item = &Vm> {
         self.vms
--- a/crates/core/src/outcome/mod.rs
+++ b/crates/core/src/outcome/mod.rs
@@ -45,6 +45,8 @@
         Attempts { display("attempts") }
         /// The entry it was forwarded to had no room.
         Full { display("full") }
+        /// This entry holds too many bytes of bodies.
+        Memory { display("buffer_full") }
     }
 }
 
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -97,6 +97,32 @@
     pub free: u32,
 }
 
+/// How the set of held servers has changed.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Held {
+    /// Servers that are held from now on.
+    pub gained: Vec<name::Vm>,
+    /// Servers that are no longer held.
+    pub lost: Vec<name::Vm>,
+    /// Servers that receive no new work from now on, and why.
+    pub excluded: Vec<(name::Vm, Arc<str>)>,
+    /// Servers that may receive work again.
+    pub included: Vec<name::Vm>,
+}
+
+/// A server that may need a probe.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Probed {
+    /// The server.
+    pub vm: name::Vm,
+    /// Where it accepts requests.
+    pub address: SocketAddr,
+    /// Probes per minute from all entries together.
+    pub per_minute: u32,
+    /// When its latest report arrived.
+    pub reported_at: Option<Instant>,
+}
+
 /// Something that happened to a held server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Notice {
@@ -126,8 +152,8 @@
     }
 
     /// Replaces the set of held servers. A server that stays keeps what is known of it; a new one
-    /// counts as cold. Returns the servers gained and lost.
-    pub fn hold(&self, now: Instant, specs: &[Spec]) -> (Vec<name::Vm>, Vec<name::Vm>) {
+    /// counts as cold, and so does one that was out of service. Returns what has changed.
+    pub fn hold(&self, now: Instant, specs: &[Spec]) -> Held {
         self.state.lock().hold(now, specs)
     }
 
@@ -168,9 +194,10 @@
         self.state.lock().report(now, vm, report)
     }
 
-    /// Sets how long the claim on a server that is not warm is confirmed.
-    pub fn claim(&self, now: Instant, vm: &name::Vm, until: Option<Instant>) {
-        self.state.lock().claim(now, vm, until);
+    /// Sets until when the claim on a server is confirmed. For a server that needs a claim, returns
+    /// whether it is confirmed now if that has changed.
+    pub fn claim(&self, now: Instant, vm: &name::Vm, until: Option<Instant>) -> Option<bool> {
+        self.state.lock().claim(now, vm, until)
     }
 
     /// The held servers that may be used only under a claim.
@@ -183,9 +210,9 @@
         self.state.lock().acquire_at(now, vm)
     }
 
-    /// When the server's latest report arrived.
-    pub fn last_report(&self, vm: &name::Vm) -> Option<Instant> {
-        self.state.lock().last_report(vm)
+    /// The servers that could be probed, if their reports are old enough.
+    pub fn probed(&self) -> Vec<Probed> {
+        self.state.lock().probed()
     }
 
     /// Hands free places to waiting requests; to be called when time may have freed some.
--- a/crates/core/src/pool/server.rs
+++ b/crates/core/src/pool/server.rs
@@ -93,9 +93,17 @@
         }
     }
 
-    pub(super) fn update(&mut self, spec: &Spec) {
+    /// Takes over a changed description. Returns whether the server may receive work now, if that
+    /// has changed. A server that comes back into service counts as cold.
+    pub(super) fn update(&mut self, spec: &Spec) -> Option<bool> {
+        let (was_out, is_out) = (self.spec.out.is_some(), spec.out.is_some());
+        if was_out && !is_out {
+            self.limit = Limit::new(tuning(&spec.policy));
+            self.claim = None;
+        }
         self.limit.tune(tuning(&spec.policy));
         self.spec = spec.clone();
+        (was_out != is_out).then_some(was_out)
     }
 
     pub(super) fn is_warm(&self) -> bool {
@@ -115,8 +123,19 @@
         if self.spec.out.is_some() { 0 } else { self.limit.current(now) }
     }
 
+    /// Whether the server may be used only under a claim. A draining server will start again.
+    pub(super) fn needs_claim(&self) -> bool {
+        !self.is_warm() || self.limit.draining()
+    }
+
+    /// Whether the server can take a probe: it has a free place, or it drains and runs nothing.
+    pub(super) fn bears_probe(&self, now: Instant) -> bool {
+        let idle = self.limit.draining() && self.taken(now) == 0;
+        self.free(now) > 0 || (idle && self.permitted(now) && self.spec.out.is_none())
+    }
+
     fn permitted(&self, now: Instant) -> bool {
-        self.is_warm() || self.claim.is_some_and(|until| now + MIN_CLAIM <= until)
+        !self.needs_claim() || self.claim.is_some_and(|until| now + MIN_CLAIM <= until)
     }
 
     fn taken(&self, now: Instant) -> u32 {
@@ -132,7 +151,7 @@
             vm: self.spec.vm.clone(),
             address: self.spec.address,
             since: now,
-            until: if self.is_warm() { None } else { self.claim },
+            until: if self.needs_claim() { self.claim } else { None },
             patience: (usual * PATIENCE_FACTOR).max(MIN_PATIENCE),
         }
     }
@@ -153,8 +172,11 @@
         self.lingering.clear();
     }
 
-    pub(super) fn set_claim(&mut self, until: Option<Instant>) {
+    /// For a server that needs a claim, returns whether it is confirmed if that has changed.
+    pub(super) fn set_claim(&mut self, now: Instant, until: Option<Instant>) -> Option<bool> {
+        let (was, is) = (self.claim.is_some(), until.is_some_and(|until| now < until));
         self.claim = until;
+        (self.needs_claim() && was != is).then_some(is)
     }
 
     /// Expected time until one more request would be answered.
--- a/crates/core/src/pool/state.rs
+++ b/crates/core/src/pool/state.rs
@@ -1,11 +1,14 @@
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use tokio::sync::oneshot;
 
+use super::Held;
 use super::Lead;
 use super::Notice;
 use super::Permit;
 use super::Place;
+use super::Probed;
 use super::Room;
 use super::limit::Kind;
 use super::limit::Sample;
@@ -43,27 +46,31 @@
 }
 
 impl State {
-    pub(super) fn hold(&mut self, now: Instant, specs: &[Spec]) -> (Vec<name::Vm>, Vec<name::Vm>) {
-        let mut lost = Vec::new();
+    pub(super) fn hold(&mut self, now: Instant, specs: &[Spec]) -> Held {
+        let mut held = Held::default();
         self.servers.retain(|server| {
             let kept = specs.iter().any(|spec| same(spec, &server.spec));
             if !kept {
-                lost.push(server.spec.vm.clone());
+                held.lost.push(server.spec.vm.clone());
             }
             kept
         });
-        let mut gained = Vec::new();
         for spec in specs {
             if let Some(server) = self.servers.iter_mut().find(|server| same(spec, &server.spec)) {
-                server.update(spec);
+                match server.update(spec) {
+                    Some(true) => held.included.push(spec.vm.clone()),
+                    Some(false) => held.excluded.extend(excluded(spec)),
+                    None => {}
+                }
                 continue;
             }
             self.next_key += 1;
             self.servers.push(Server::new(self.next_key, spec));
-            gained.push(spec.vm.clone());
+            held.gained.push(spec.vm.clone());
+            held.excluded.extend(excluded(spec));
         }
         self.pump(now);
-        (gained, lost)
+        held
     }
 
     pub(super) fn acquire(&mut self, now: Instant, idempotent: bool) -> Option<Permit> {
@@ -79,7 +86,7 @@
 
     pub(super) fn acquire_at(&mut self, now: Instant, vm: &name::Vm) -> Option<Permit> {
         let server = self.server(vm)?;
-        (server.free(now) > 0).then(|| server.take(now))
+        server.bears_probe(now).then(|| server.take(now))
     }
 
     pub(super) fn wait(&mut self, waiter: Waiter, queue: u32) -> bool {
@@ -134,21 +141,30 @@
         change.map(|change| Notice { vm: vm.clone(), change })
     }
 
-    pub(super) fn claim(&mut self, now: Instant, vm: &name::Vm, until: Option<Instant>) {
-        if let Some(server) = self.server(vm) {
-            server.set_claim(until);
-            self.pump(now);
-        }
+    pub(super) fn claim(
+        &mut self,
+        now: Instant,
+        vm: &name::Vm,
+        until: Option<Instant>,
+    ) -> Option<bool> {
+        let change = self.server(vm)?.set_claim(now, until);
+        self.pump(now);
+        change
     }
 
     pub(super) fn unconfirmed(&self) -> Vec<name::Vm> {
-        let cold = |server: &&Server| !server.is_warm() && server.spec.out.is_none();
-        self.servers.iter().filter(cold).map(|server| server.spec.vm.clone()).collect()
+        let needed = |server: &&Server| server.needs_claim() && server.spec.out.is_none();
+        self.servers.iter().filter(needed).map(|server| server.spec.vm.clone()).collect()
     }
 
-    pub(super) fn last_report(&self, vm: &name::Vm) -> Option<Instant> {
-        let server = self.servers.iter().find(|server| server.spec.vm == *vm)?;
-        server.limit.reported_at()
+    pub(super) fn probed(&self) -> Vec<Probed> {
+        let probed = |server: &Server| Probed {
+            vm: server.spec.vm.clone(),
+            address: server.spec.address,
+            per_minute: server.spec.policy.probes_per_minute,
+            reported_at: server.limit.reported_at(),
+        };
+        self.servers.iter().filter(|server| server.spec.out.is_none()).map(probed).collect()
     }
 
     pub(super) fn room(&self, now: Instant) -> Room {
@@ -238,6 +254,11 @@
     }
 }
 
+/// The server and why it receives no new work, if so.
+fn excluded(spec: &Spec) -> Option<(name::Vm, Arc<str>)> {
+    spec.out.clone().map(|why| (spec.vm.clone(), why))
+}
+
 /// A VM that changed its address is another server.
 fn same(one: &Spec, other: &Spec) -> bool {
     one.vm == other.vm && one.address == other.address
--- a/crates/core/src/port/mod.rs
+++ b/crates/core/src/port/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::config::Config;
 use crate::control::Claim;
+use crate::control::Grant;
 use crate::control::Hello;
 use crate::control::Kind;
 use crate::event::Event;
@@ -103,14 +104,13 @@
         timeout: Duration,
     ) -> impl Future<Output = Option<Hello>> + Send;
 
-    /// Asks the witness at `address` for promises. Returns one answer for each target of the claim,
-    /// in order, or `None` if it does not answer in time.
+    /// Asks the witness at `address` for promises. `None` if it does not answer in time.
     fn claim(
         &self,
         address: SocketAddr,
         claim: &Claim<'_>,
         timeout: Duration,
-    ) -> impl Future<Output = Option<Vec<bool>>> + Send;
+    ) -> impl Future<Output = Option<Grant>> + Send;
 
     /// Fetches a document in force at the entry at `address`.
     fn document(
@@ -141,6 +141,35 @@
     fn number(&self, kind: Kind, bytes: &[u8]) -> u64;
 }
 
+/// All ports of an entry, so that decisions take one type parameter.
+pub trait Ports: Send + Sync + 'static {
+    /// Time.
+    type Clock: Clock;
+    /// Random numbers.
+    type Random: Random;
+    /// Servers.
+    type Upstream: Upstream;
+    /// Other entries.
+    type Peer: Peer + Mesh;
+    /// Documents.
+    type Reader: Reader;
+
+    /// The clock.
+    fn clock(&self) -> &Self::Clock;
+
+    /// The source of random numbers.
+    fn random(&self) -> &Self::Random;
+
+    /// The way to servers.
+    fn upstream(&self) -> &Self::Upstream;
+
+    /// The way to other entries.
+    fn peer(&self) -> &Self::Peer;
+
+    /// The reader of documents.
+    fn reader(&self) -> &Self::Reader;
+}
+
 /// Records events for the time line.
 pub trait Journal {
     /// Records one event.
