--- a/crates/core/src/control/beat.rs
+++ b/crates/core/src/control/beat.rs
@@ -12,6 +12,7 @@
 use crate::member::Heartbeat;
 use crate::member::Origin;
 use crate::member::Role;
+use crate::member::Vm;
 use crate::name;
 use crate::port::Clock;
 use crate::port::Mesh;
@@ -60,7 +61,8 @@
         let now = self.clock().now();
         let (config, list) = self.tables.intent.orders();
         let gate = &self.tables.gate;
-        let capacity = self.tables.routes().iter().filter_map(|(service, route)| {
+        let routes = self.tables.routes();
+        let capacity = routes.iter().filter_map(|(service, route)| {
             let room = route.pool().room(now);
             let held = room.limit > 0;
             held.then(|| Capacity { service: service.clone(), limit: room.limit, free: room.free })
@@ -132,7 +134,7 @@
             return self.seeds.iter().map(|seed| Other { vm: None, address: *seed }).collect();
         };
         let vms = intent.list.vms().iter().filter(|vm| vm.name != self.identity.vm);
-        let other = |vm: &crate::member::Vm| match &vm.role {
+        let other = |vm: &Vm| match &vm.role {
             Role::Entry { control, .. } => {
                 Some(Other { vm: Some(vm.name.clone()), address: *control })
             }
--- a/crates/core/src/control/lease.rs
+++ b/crates/core/src/control/claims.rs
@@ -15,6 +15,7 @@
 use crate::port::Mesh;
 use crate::port::Ports;
 use crate::rank;
+use crate::time::Instant;
 
 /// Time between two looks at which claims are due.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -49,11 +50,8 @@
     pub fn claimed(&self, claim: &Claim<'_>) -> Grant {
         let wall = self.clock().wall_millis();
         self.tables.timeline.receive(wall, claim.clock);
-        let claimant = Claimant {
-            name: claim.claimant,
-            incarnation: claim.incarnation,
-            round: claim.round,
-        };
+        let claimant =
+            Claimant { name: claim.claimant, incarnation: claim.incarnation, round: claim.round };
         let mut leases = self.leases.lock();
         let now = self.clock().now();
         let granted = leases.answer(now, claimant, claim.targets, claim.released);
@@ -76,7 +74,8 @@
             })
             .collect();
         let now = self.clock().now();
-        self.leases.lock().begin(now, wanted.iter().map(|(target, vms)| (target, vms)))
+        let mut leases = self.leases.lock();
+        leases.begin(now, wanted.iter().map(|(target, witnesses)| (target, witnesses)))
     }
 
     async fn ask(&self, intent: &Intent, batch: &Batch) {
@@ -118,7 +117,7 @@
         }
     }
 
-    fn set_claim(&self, route: &Route, target: Target, until: Option<crate::time::Instant>) {
+    fn set_claim(&self, route: &Route, target: Target, until: Option<Instant>) {
         let now = self.clock().now();
         match route.pool().claim(now, &target.server, until) {
             Some(true) => self.record(Event::Claimed(target.service, target.server)),
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -6,9 +6,9 @@
 //! cancelled; what a loop does in one round is a method of its own, which tests call directly.
 
 mod beat;
+mod claims;
 mod document;
 mod holding;
-mod lease;
 mod message;
 mod probe;
 mod reconcile;
--- a/crates/core/src/control/reconcile.rs
+++ b/crates/core/src/control/reconcile.rs
@@ -53,7 +53,8 @@
             routes.push((name.clone(), Arc::new(route)));
         }
         let routes = Routes::new(routes, &intent.list);
-        for (name, route) in previous.iter().filter(|(name, _)| routes.get(name.as_str()).is_none()) {
+        for (name, route) in previous.iter().filter(|(name, _)| routes.get(name.as_str()).is_none())
+        {
             self.report(name, &route.pool().hold(now, &[]));
         }
         self.tables.set_routes(Arc::new(routes));
--- a/crates/core/src/flow/address.rs
+++ b/crates/core/src/flow/address.rs
@@ -39,11 +39,9 @@
         let peers = &self.tables.peers;
         let own = peers.own();
         let weigh = |vm, weight| Some(Address { address: routes.entry(vm)?.caller, weight });
-        let mut addresses: Vec<Address> = peers
-            .holding(service, now)
-            .iter()
-            .filter_map(|room| weigh(&room.vm, room.limit))
-            .collect();
+        let holding = peers.holding(service, now);
+        let mut addresses: Vec<Address> =
+            holding.iter().filter_map(|room| weigh(&room.vm, room.limit)).collect();
         let held = route.pool().room(now).limit;
         if held > 0 && !self.tables.gate.is_leaving() {
             addresses.extend(weigh(own, held));
--- a/crates/core/src/flow/attempt.rs
+++ b/crates/core/src/flow/attempt.rs
@@ -33,7 +33,7 @@
 impl<C: Clock> Drop for Hold<'_, C> {
     fn drop(&mut self) {
         if let Some(permit) = self.permit.take() {
-            self.pool.abandon(self.clock().now(), permit);
+            self.pool.abandon(self.clock.now(), permit);
         }
     }
 }
--- a/crates/core/src/flow/scout.rs
+++ b/crates/core/src/flow/scout.rs
@@ -56,7 +56,8 @@
     }
 
     async fn ask(&self, holder: &Lead, route: &Route, deadline: Instant) -> u32 {
-        let free = self.ports.peer().vacancy(holder.address, route.pool().service(), deadline).await;
+        let free =
+            self.ports.peer().vacancy(holder.address, route.pool().service(), deadline).await;
         for _ in 0..free {
             if !route.pool().lead(holder) {
                 break;
--- a/crates/core/src/gate/mod.rs
+++ b/crates/core/src/gate/mod.rs
@@ -17,6 +17,7 @@
     ready: AtomicBool,
     leaving: AtomicBool,
     closed: AtomicBool,
+    reported: AtomicBool,
     fresh_until: AtomicU64,
 }
 
@@ -60,6 +61,13 @@
         self.leaving.load(Ordering::Acquire)
     }
 
+    /// Whether the entry is fenced, if that has changed since the last call.
+    pub fn fence_change(&self, now: Instant) -> Option<bool> {
+        let fenced = self.is_fenced(now);
+        let before = self.reported.swap(fenced, Ordering::AcqRel);
+        (fenced != before).then_some(fenced)
+    }
+
     /// Sets until when what this entry has heard is recent enough.
     pub fn set_fresh_until(&self, until: Instant) {
         self.fresh_until.store(until.as_nanos(), Ordering::Release);
--- a/crates/core/src/intent/slot.rs
+++ b/crates/core/src/intent/slot.rs
@@ -94,7 +94,8 @@
     pub answered: Option<Instant>,
     /// When the latest read was sent whose answer was not older than the document in force.
     pub current: Option<Instant>,
-    order: Option<Order>,
+    /// Place of the document in the latest answer.
+    pub order: Option<Order>,
     reported: Option<Order>,
 }
 
--- a/crates/core/src/intent/table.rs
+++ b/crates/core/src/intent/table.rs
@@ -142,6 +142,16 @@
         self.state.lock().list.missing(asked);
     }
 
+    /// Place of the configuration in the platform's last answer.
+    pub fn served_config(&self) -> Option<Order> {
+        self.state.lock().config.served().order
+    }
+
+    /// Place of the VM list in the platform's last answer.
+    pub fn served_list(&self) -> Option<Order> {
+        self.state.lock().list.served().order
+    }
+
     /// The places of the configuration and the VM list in force.
     pub fn orders(&self) -> (Option<Order>, Option<Order>) {
         let state = self.state.lock();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod flow;
 pub mod gate;
 pub mod intent;
+pub mod lease;
 pub mod ledger;
 pub mod lock;
 pub mod member;
--- a/crates/core/src/port/mod.rs
+++ b/crates/core/src/port/mod.rs
@@ -50,11 +50,8 @@
 pub trait Upstream: Send + Sync + 'static {
     /// Sends one attempt to the server at `address` and waits for its whole answer, at most until the
     /// attempt's deadline. Dropping the future closes the connection.
-    fn send(
-        &self,
-        address: SocketAddr,
-        attempt: Attempt<'_>,
-    ) -> impl Future<Output = Reply> + Send;
+    fn send(&self, address: SocketAddr, attempt: Attempt<'_>)
+    -> impl Future<Output = Reply> + Send;
 
     /// Asks the server at `address` for a report. `None` if it gives none in time.
     fn probe(
