--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,126 @@
+//! Settings of the daemon: flags and environment variables.
+//!
+//! One table ([`table`]) describes every setting. gumdrop splits the command line into flags and
+//! values; [`raw`] looks them up in the table and adds the environment variables of the settings
+//! that have no flag, since gumdrop reads no environment. The conversion from [`Raw`] to
+//! [`Settings`] checks all values and reports all problems together, so that an operator does not
+//! find them one start at a time.
+
+mod check;
+mod help;
+mod problem;
+mod raw;
+mod rule;
+pub mod table;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jackdawpin_core::name;
+use log::LevelFilter;
+
+use crate::listen::Limits;
+
+pub use help::Help;
+pub use problem::Problem;
+pub use problem::Problems;
+pub use raw::Raw;
+pub use rule::Rule;
+
+/// Exit code when the settings are not valid.
+pub const EXIT_INVALID: u8 = 2;
+
+/// The checked settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm: name::Vm,
+    /// Failure domain of this VM.
+    pub domain: name::Domain,
+    /// Region of this VM.
+    pub region: name::Region,
+    /// Address on which callers connect.
+    pub listen: SocketAddr,
+    /// Address on which other entries and operators connect.
+    pub control: SocketAddr,
+    /// Address of the platform's configuration service.
+    pub platform: SocketAddr,
+    /// Control addresses of other entries.
+    pub seeds: Vec<SocketAddr>,
+    /// Number of worker threads.
+    pub workers: usize,
+    /// What is logged, and how.
+    pub log: Log,
+    /// Limits of each listener.
+    pub limits: Limits,
+    /// Limit of the bytes of all bodies held at once.
+    pub max_buffered_bytes: usize,
+    /// Time limit of a planned stop; `None` if it waits for everything in flight.
+    pub stop_limit: Option<Duration>,
+    /// Keys of the documents.
+    pub keys: Keys,
+}
+
+/// What is logged, and how.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Log {
+    /// Format of the lines.
+    pub format: Format,
+    /// Lowest level that is logged.
+    pub level: LevelFilter,
+}
+
+/// Format of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// Text, one line per message.
+    Text,
+    /// JSON, one object per line.
+    Json,
+}
+
+/// Keys of the documents in the platform's configuration service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Keys {
+    /// Key of the configuration.
+    pub config: String,
+    /// Key of the list of VMs.
+    pub vms: String,
+}
+
+/// What the program was asked to do.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Print the help.
+    Help,
+    /// Print the version.
+    Version,
+    /// Say that the settings are valid.
+    Check(Settings),
+    /// Run with these settings.
+    Run(Settings),
+}
+
+impl Command {
+    /// Reads the command line, without the name of the program, and the variables that `variable`
+    /// knows.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is wrong with the settings. `--help` and `--version` are followed even then.
+    pub fn read(
+        arguments: &[impl AsRef<str>],
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, Problems> {
+        let raw = Raw::collect(arguments, variable);
+        if raw.asks(&table::HELP) {
+            return Ok(Self::Help);
+        }
+        if raw.asks(&table::VERSION) {
+            return Ok(Self::Version);
+        }
+        let check = raw.asks(&table::CHECK);
+        let settings = Settings::try_from(raw)?;
+        Ok(if check { Self::Check(settings) } else { Self::Run(settings) })
+    }
+}
