Add the watches on the platform's keys

One blocking read per key stays pending. Errors are followed by exponential backoff with jitter (100 ms to 5 s); good reads start at least 100 ms apart, because a platform that does not hold reads would otherwise be read in a tight loop. The wait is 2 s, so that silence is noticed within the 5 s of the fence.

The age of an answer is measured on CLOCK_BOOTTIME: after a suspension a buffered answer must not count as a sign of the platform now.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod clock;
 pub mod listen;
+pub mod platform;
 pub mod settings;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/daemon/src/platform/error.rs
@@ -0,0 +1,55 @@
+//! Why a read failed.
+
+use std::time::Duration;
+
+use quick_error::quick_error;
+use volo_http::error::ClientError;
+
+quick_error! {
+    /// Why a read failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// No connection could be made, or it broke.
+        Client(error: ClientError) {
+            display("{}", error)
+            source(error)
+            from()
+        }
+        /// The answer did not come within the wait and the grace.
+        Timeout(limit: Duration) {
+            display("no answer within {} ms", limit.as_millis())
+        }
+        /// The key does not exist.
+        Absent {
+            display("the key does not exist")
+        }
+        /// The status is neither 200 nor 404.
+        Status(status: u16) {
+            display("status {}", status)
+        }
+        /// The answer broke off.
+        Broken {
+            display("the connection broke before the end of the answer")
+        }
+        /// The value is larger than the platform allows.
+        Large(limit: usize) {
+            display("the value has more than {} bytes", limit)
+        }
+        /// The answer is not as the API says.
+        Format(problem: String) {
+            display("{}", problem)
+        }
+    }
+}
+
+impl From<serde_json::Error> for Error {
+    fn from(error: serde_json::Error) -> Self {
+        Error::Format(format!("the answer is not the JSON expected: {error}"))
+    }
+}
+
+impl From<base64::DecodeError> for Error {
+    fn from(error: base64::DecodeError) -> Self {
+        Error::Format(format!("the value is not base64: {error}"))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/mod.rs
@@ -0,0 +1,53 @@
+//! Reads the documents from the platform's configuration service.
+//!
+//! The service has a key-value API over HTTP with blocking queries: a read that names the index of
+//! the last answer is held until the key changes or a wait passes. [`watch`] keeps one such read
+//! pending for each key and gives each value to a [`Sink`], which decides what it means. [`Fetch`]
+//! is one read; [`Http`] does it over HTTP.
+
+mod answer;
+mod backoff;
+mod error;
+mod fetch;
+mod http;
+mod watch;
+
+use std::fmt;
+
+pub use answer::Answer;
+pub use answer::MAX_VALUE_BYTES;
+pub use backoff::Backoff;
+pub use error::Error;
+pub use fetch::Fetch;
+pub use http::Http;
+pub use http::WAIT;
+pub use watch::Watch;
+pub use watch::watch;
+
+/// The documents that the platform publishes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Key {
+    /// The configuration.
+    Config,
+    /// The list of VMs.
+    Vms,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Key::Config => "config",
+            Key::Vms => "vms",
+        })
+    }
+}
+
+/// Receives the results of reads.
+pub trait Sink: Send + Sync + 'static {
+    /// The platform answered with `value`, which may be the same as before: a good read shows that
+    /// the platform is heard.
+    fn read(&self, key: Key, value: &[u8]);
+
+    /// A read failed.
+    fn failed(&self, key: Key, error: &Error);
+}
