--- /dev/null
+++ b/crates/testkit/examples/platform.rs
@@ -0,0 +1,59 @@
+//! Runs the stand-in of the platform's configuration service as a process of its own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio_util::sync::CancellationToken;
+
+use jackdawpin_testkit::platform::CONFIG_KEY;
+use jackdawpin_testkit::platform::Service;
+use jackdawpin_testkit::platform::VMS_KEY;
+use jackdawpin_testkit::platform::follow;
+
+/// Serves configuration documents.
+#[derive(Debug, Options)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address to listen on", meta = "IP:PORT", required)]
+    listen: Option<SocketAddr>,
+    #[options(help = "file with the configuration", meta = "FILE", no_short)]
+    config: Option<PathBuf>,
+    #[options(help = "file with the VM list", meta = "FILE", no_short)]
+    vms: Option<PathBuf>,
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> ExitCode {
+    match run(Flags::parse_args_default_or_exit()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("platform: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(flags: Flags) -> io::Result<()> {
+    let listen = flags.listen.ok_or(io::ErrorKind::InvalidInput)?;
+    let cancel = CancellationToken::new();
+    let service = Service::default();
+    for (key, file) in [(CONFIG_KEY, flags.config), (VMS_KEY, flags.vms)] {
+        let Some(file) = file else { continue };
+        // The key is there before the first call can be.
+        service.put(key, std::fs::read(&file)?);
+        let service = service.clone();
+        let cancel = cancel.clone();
+        tokio::spawn(async move { follow(service, key, &file, &cancel).await });
+    }
+    let address = service.start(listen, &cancel).await?;
+    eprintln!("platform: listening on {address}");
+    signal(SignalKind::terminate())?.recv().await;
+    cancel.cancel();
+    Ok(())
+}
