--- a/crates/testkit/examples/platform.rs
+++ b/crates/testkit/examples/platform.rs
@@ -51,8 +51,8 @@
         let cancel = cancel.clone();
         tokio::spawn(async move { follow(service, key, &file, &cancel).await });
     }
-    let address = service.start(listen, &cancel).await?;
-    eprintln!("platform: listening on {address}");
+    let running = service.start(listen, &cancel).await?;
+    eprintln!("platform: listening on {}", running.address);
     signal(SignalKind::terminate())?.recv().await;
     cancel.cancel();
     Ok(())
--- a/crates/testkit/src/http/mod.rs
+++ b/crates/testkit/src/http/mod.rs
@@ -20,6 +20,7 @@
 pub use self::query::Query;
 pub use self::serve::Hangup;
 pub use self::serve::Limits;
+pub use self::serve::Running;
 pub use self::serve::Stats;
 pub use self::serve::serve;
 
--- a/crates/testkit/src/http/serve.rs
+++ b/crates/testkit/src/http/serve.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -15,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -66,6 +68,15 @@
     }
 }
 
+/// A listener that serves in the background.
+#[derive(Debug)]
+pub struct Running {
+    /// Where it listens; the port is its own if 0 was asked for.
+    pub address: SocketAddr,
+    /// Ends when the last request has been answered after the end of the listener.
+    pub task: JoinHandle<()>,
+}
+
 /// Serves requests until `cancel`, then closes idle connections and waits for requests in flight.
 pub async fn serve<H, F>(
     listener: TcpListener,
--- a/crates/testkit/src/platform/adapter.rs
+++ b/crates/testkit/src/platform/adapter.rs
@@ -29,6 +29,7 @@
 use crate::http::Hangup;
 use crate::http::Limits;
 use crate::http::Query;
+use crate::http::Running;
 use crate::http::Stats;
 use crate::http::json;
 use crate::http::serve;
@@ -67,8 +68,7 @@
 }
 
 impl Service {
-    /// Listens on `address` and serves until `cancel`. Returns the address, which has a port of its own if the given
-    /// one was 0.
+    /// Listens on `address` and serves until `cancel`.
     ///
     /// # Errors
     ///
@@ -77,16 +77,16 @@
         &self,
         address: SocketAddr,
         cancel: &CancellationToken,
-    ) -> io::Result<SocketAddr> {
+    ) -> io::Result<Running> {
         let listener = TcpListener::bind(address).await?;
-        let local = listener.local_addr()?;
+        let address = listener.local_addr()?;
         let service = self.clone();
         let cancel = cancel.clone();
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             let handler = move |request| service.clone().handle(request);
             serve(listener, Limits::default(), Arc::new(Stats::default()), &cancel, handler).await;
         });
-        Ok(local)
+        Ok(Running { address, task })
     }
 
     /// Sets a key and returns the index.
