testkit: add the load tool

It records each request from the time at which it was meant to be sent, checks that each answer is the request's own, and compares the records with the ledgers of the servers afterwards.

--- /dev/null
+++ b/crates/testkit/src/caller/audit.rs
@@ -0,0 +1,170 @@
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quick_error::quick_error;
+use serde::Serialize;
+
+use super::Class;
+use super::Record;
+use crate::http::Error as ExchangeError;
+use crate::http::fetch;
+use crate::server::Counts;
+use crate::server::Entry;
+
+/// Time for a server to send its ledger.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Request ids that are named per kind of finding.
+const MAX_NAMED: usize = 10;
+
+quick_error! {
+    /// Why a ledger could not be had.
+    #[derive(Debug)]
+    pub enum LedgerError {
+        /// The server did not answer.
+        Fetch(err: ExchangeError) {
+            from()
+            display("fetching a ledger: {}", err)
+            source(err)
+        }
+        /// The answer is not a ledger.
+        Malformed(address: SocketAddr, err: serde_json::Error) {
+            display("the ledger of {} is malformed: {}", address, err)
+            source(err)
+        }
+        /// The answer is empty.
+        Empty(address: SocketAddr) {
+            display("the ledger of {} is empty", address)
+        }
+    }
+}
+
+/// What a server says it ran.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ServerLedger {
+    /// Counts since its start.
+    pub counts: Counts,
+    /// Requests that ran.
+    pub entries: Vec<Entry>,
+}
+
+/// Differences between what callers were told and what servers ran.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
+pub struct Audit {
+    /// Non-idempotent requests that ran more than once.
+    pub doubled: u64,
+    /// Answered requests that no ledger has.
+    pub lost: u64,
+    /// Refused requests that ran.
+    pub false_refusals: u64,
+    /// Unknown and unexplained requests that ran.
+    pub unsure_ran: u64,
+    /// Unknown and unexplained requests that did not run.
+    pub unsure_not_run: u64,
+    /// Idempotent requests that ran more than once, which is allowed.
+    pub repeated: u64,
+    /// Some of the ids behind the first three, with what was found.
+    pub named: Vec<String>,
+}
+
+impl Audit {
+    /// Compares the records of callers with the ledgers of all servers.
+    ///
+    /// Each server that was up during the run must be among them; with one missing, requests look lost that are not.
+    pub fn of<'a>(records: impl IntoIterator<Item = &'a Record>, ledgers: &[ServerLedger]) -> Self {
+        let mut runs: BTreeMap<&str, u32> = BTreeMap::new();
+        for entry in ledgers.iter().flat_map(|ledger| &ledger.entries) {
+            *runs.entry(&entry.id).or_default() += entry.runs;
+        }
+        let mut audit = Self::default();
+        for record in records {
+            let ran = runs.get(record.id.as_str()).copied().unwrap_or(0);
+            audit.add(record, ran);
+        }
+        audit
+    }
+
+    /// Whether no rule was broken.
+    pub fn is_clean(&self) -> bool {
+        self.doubled == 0 && self.lost == 0 && self.false_refusals == 0
+    }
+
+    fn add(&mut self, record: &Record, runs: u32) {
+        if runs > 1 && record.idempotent {
+            self.repeated += 1;
+        }
+        if runs > 1 && !record.idempotent {
+            self.doubled += 1;
+            self.name("doubled", record, runs);
+        }
+        match (record.class, runs) {
+            (Class::Answered, 0) => {
+                self.lost += 1;
+                self.name("lost", record, runs);
+            }
+            (Class::Refused, 1..) => {
+                self.false_refusals += 1;
+                self.name("false refusal", record, runs);
+            }
+            (Class::Unknown | Class::Unexplained, 0) => self.unsure_not_run += 1,
+            (Class::Unknown | Class::Unexplained, 1..) => self.unsure_ran += 1,
+            (Class::Answered, 1..) | (Class::Refused, 0) => {}
+        }
+    }
+
+    fn name(&mut self, finding: &str, record: &Record, runs: u32) {
+        if self.named.len() < 3 * MAX_NAMED {
+            let Record { id, class, reason, at, .. } = record;
+            self.named.push(format!("{finding}: {id} at {at:?}, {class:?} {reason}, ran {runs}x"));
+        }
+    }
+}
+
+impl fmt::Display for Audit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "ledger check: doubled {}, lost {}, false refusals {}; unsure and ran {}, unsure and did not run {}, \
+             idempotent and repeated {}",
+            self.doubled,
+            self.lost,
+            self.false_refusals,
+            self.unsure_ran,
+            self.unsure_not_run,
+            self.repeated
+        )?;
+        for named in &self.named {
+            write!(f, "\n{named}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Asks a server for its ledger.
+///
+/// # Errors
+///
+/// The server does not answer within 10 s, or not with a ledger.
+pub async fn fetch_ledger(address: SocketAddr) -> Result<ServerLedger, LedgerError> {
+    let whole = fetch(address, "GET", "/test/ledger", "", FETCH_TIMEOUT).await?;
+    let malformed = |err| LedgerError::Malformed(address, err);
+    let mut lines = whole.body.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
+    let first = lines.next().ok_or(LedgerError::Empty(address))?;
+    let counts = serde_json::from_slice(first).map_err(malformed)?;
+    let entries = lines.map(serde_json::from_slice).collect::<Result<_, _>>();
+    Ok(ServerLedger { counts, entries: entries.map_err(malformed)? })
+}
+
+/// Asks several servers for their ledgers.
+///
+/// # Errors
+///
+/// The first of the servers that does not answer.
+pub async fn fetch_ledgers(addresses: &[SocketAddr]) -> Result<Vec<ServerLedger>, LedgerError> {
+    let mut ledgers = Vec::new();
+    for address in addresses {
+        ledgers.push(fetch_ledger(*address).await?);
+    }
+    Ok(ledgers)
+}
--- /dev/null
+++ b/crates/testkit/src/caller/mod.rs
@@ -0,0 +1,35 @@
+//! A load tool that behaves as a caller does and keeps a record of each request.
+//!
+//! It asks an entry for addresses and keeps them for their time to live, sends requests in open or closed loop over
+//! kept-alive connections, and checks that each answer is whole and belongs to its own request. Latency counts from
+//! the time at which a request was meant to be sent, so a stall is not hidden by requests that wait for it
+//! (coordinated omission). [`Report`] and [`Audit`] are computed from the records afterwards.
+
+mod addresses;
+mod audit;
+mod class;
+mod plan;
+mod record;
+mod report;
+mod run;
+
+pub use self::addresses::Address;
+pub use self::addresses::Addresses;
+pub use self::audit::Audit;
+pub use self::audit::LedgerError;
+pub use self::audit::ServerLedger;
+pub use self::audit::fetch_ledger;
+pub use self::audit::fetch_ledgers;
+pub use self::class::Class;
+pub use self::class::Verdict;
+pub use self::class::classify;
+pub use self::plan::Call;
+pub use self::plan::Options;
+pub use self::plan::Pace;
+pub use self::plan::Plan;
+pub use self::record::Record;
+pub use self::report::Latency;
+pub use self::report::Report;
+pub use self::run::Caller;
+pub use self::run::Error;
+pub use self::run::Target;
--- /dev/null
+++ b/crates/testkit/src/caller/record.rs
@@ -0,0 +1,29 @@
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Class;
+
+/// What became of one request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Its id.
+    pub id: String,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Index of the target that it went to.
+    pub target: usize,
+    /// When it was meant to be sent, counted from the start of the run.
+    pub at: Duration,
+    /// Time from then to the end.
+    pub latency: Duration,
+    /// What is known about it.
+    pub class: Class,
+    /// Why, if it was not simply answered.
+    pub reason: String,
+    /// Status code of the answer, 0 if there is none.
+    pub status: u16,
+    /// Connection attempts that failed before it was sent.
+    pub moves: u32,
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in is a model without I/O, which takes the time as an argument, and an HTTP adapter around it. The
 //! programs in `examples` run the adapters as separate processes.
 
+pub mod caller;
 pub mod http;
 pub mod platform;
 pub mod server;
