Read and check the documents of the platform

Adds jackdawpin-document: the configuration (TOML) and the VM list (JSON) are read into the validated types of the core, and every fault names line, column, field and reason. All faults of a document are reported in one pass, so a faulty value is left out and does not cause reports elsewhere.

The reader needs the range of each field where it is written. The ranges were known only to the builder, which stopped at the first fault, and the list of fields was repeated in three places of core::config. They are now one table, config::FIELDS.

Two faults of the builder are fixed on the way. Exceptions were checked one by one, so an exception for a failure domain and one for a server or a service could leave a server with no more connections than slots; all combinations are checked now. The message for that rule allowed equal values, which the rule refuses.

--- a/crates/core/src/config/build.rs
+++ b/crates/core/src/config/build.rs
@@ -1,16 +1,18 @@
 use std::collections::BTreeMap;
+use std::iter;
 use std::ops::RangeInclusive;
-use std::time::Duration;
 
 use quick_error::quick_error;
 
 use super::Config;
 use super::Exception;
+use super::FIELDS;
 use super::Outage;
 use super::Override;
 use super::Policy;
 use super::Scope;
 use super::Service;
+use super::field;
 use crate::name;
 
 quick_error! {
@@ -25,6 +27,10 @@
         Order(smaller: &'static str, larger: &'static str) {
             display("{} must not be larger than {}", smaller, larger)
         }
+        /// A server accepts no more connections than it runs requests.
+        Connections {
+            display("connections must be larger than slots")
+        }
         /// The revision is zero.
         Revision {
             display("revision must be at least 1")
@@ -74,6 +80,13 @@
     config: Config,
 }
 
+impl Default for Builder {
+    /// Starts a configuration with revision 1 and the built-in values.
+    fn default() -> Self {
+        Self::start(1, Policy::default())
+    }
+}
+
 impl Builder {
     /// Starts a configuration with the given revision and fleet-wide values.
     ///
@@ -84,7 +97,11 @@
         if revision == 0 {
             return Err(Error::Revision);
         }
-        check_policy(&defaults)?;
+        defaults.check()?;
+        Ok(Self::start(revision, defaults))
+    }
+
+    fn start(revision: u64, defaults: Policy) -> Self {
         let config = Config {
             revision,
             defaults,
@@ -92,7 +109,7 @@
             exceptions: Vec::new(),
             outages: Vec::new(),
         };
-        Ok(Self { config })
+        Self { config }
     }
 
     /// Adds a service.
@@ -114,7 +131,7 @@
         }
         let mut policy = self.config.defaults.clone();
         policy.apply(&changes);
-        check_policy(&policy)?;
+        policy.check()?;
         self.config.services.insert(name, Service { changes, policy, idempotent_paths });
         Ok(self)
     }
@@ -123,7 +140,8 @@
     ///
     /// # Errors
     ///
-    /// The service does not exist, the scope has an exception already, nothing is changed, or a value is out of range.
+    /// The service does not exist, the scope has an exception already, nothing is changed, a value is out of range or
+    /// does not fit the other values of a server to which the exception applies.
     pub fn exception(&mut self, exception: Exception) -> Result<&mut Self, Error> {
         if exception.changes == Override::default() && !exception.out {
             return Err(Error::EmptyException);
@@ -131,34 +149,28 @@
         if self.config.exceptions.iter().any(|other| other.scope == exception.scope) {
             return Err(Error::DuplicateException);
         }
+        check_scope(&exception)?;
         match &exception.scope {
             Scope::Service(name) => {
-                let service = self
-                    .config
-                    .services
-                    .get_mut(name)
-                    .ok_or_else(|| Error::UnknownService(name.clone()))?;
-                let mut policy = service.policy.clone();
+                let mut policy = self.known(name)?.policy.clone();
                 policy.apply(&exception.changes);
-                check_policy(&policy)?;
-                service.policy = policy;
+                policy.check()?;
+                self.check_service(name, &policy)?;
+                if let Some(service) = self.config.services.get_mut(name) {
+                    service.policy = policy;
+                }
             }
             Scope::Server(name, _) => {
-                let service = self
-                    .config
-                    .services
-                    .get(name)
-                    .ok_or_else(|| Error::UnknownService(name.clone()))?;
-                check_server_values(&exception.changes)?;
-                let mut policy = service.policy.clone();
+                let mut policy = self.known(name)?.policy.clone();
                 policy.apply(&exception.changes);
-                check_policy(&policy)?;
+                policy.check()?;
+                self.check_server(name, size(&exception.changes))?;
             }
             Scope::Domain(_) => {
-                check_server_values(&exception.changes)?;
                 let mut policy = self.config.defaults.clone();
                 policy.apply(&exception.changes);
-                check_policy(&policy)?;
+                policy.check()?;
+                self.check_domain(size(&exception.changes))?;
             }
         }
         self.config.exceptions.push(exception);
@@ -178,65 +190,80 @@
         Ok(self)
     }
 
-    /// The finished configuration.
-    pub fn build(self) -> Config {
+    fn known(&self, name: &name::Service) -> Result<&Service, Error> {
+        self.config.services.get(name).ok_or_else(|| Error::UnknownService(name.clone()))
+    }
+
+    /// Sizes in exceptions for failure domains; any server may be in any of them.
+    fn domain_sizes(&self) -> impl Iterator<Item = Size> {
         self.config
+            .exceptions
+            .iter()
+            .filter(|exception| matches!(exception.scope, Scope::Domain(_)))
+            .map(|exception| size(&exception.changes))
     }
-}
 
-fn check_policy(policy: &Policy) -> Result<(), Error> {
-    check_range("slots", policy.slots.into(), 1..=1_000)?;
-    check_range("connections", policy.connections.into(), 1..=100_000)?;
-    check_range("queue", policy.queue.into(), 0..=100_000)?;
-    check_range("timeout_ms", millis(policy.timeout), 1..=600_000)?;
-    check_range("max_timeout_ms", millis(policy.max_timeout), 1..=600_000)?;
-    check_range("attempts", policy.attempts.into(), 1..=10)?;
-    check_range("retry_permille", policy.retry_permille.into(), 0..=1_000)?;
-    check_range("retry_burst", policy.retry_burst.into(), 0..=10_000)?;
-    check_range("probes_per_minute", policy.probes_per_minute.into(), 1..=6_000)?;
-    check_range("address_ttl_ms", millis(policy.address_ttl), 100..=60_000)?;
-    check_range("warm_after", policy.warm_after.into(), 1..=1_000)?;
-    check_range("cold_factor", policy.cold_factor.into(), 2..=1_000)?;
-    check_range("body_limit_bytes", policy.body_limit, 1..=64 << 20)?;
-    if policy.timeout > policy.max_timeout {
-        return Err(Error::Order("timeout_ms", "max_timeout_ms"));
+    /// Sizes in exceptions for servers of the service.
+    fn server_sizes(&self, service: &name::Service) -> impl Iterator<Item = Size> {
+        self.config
+            .exceptions
+            .iter()
+            .filter(move |exception| match &exception.scope {
+                Scope::Server(name, _) => name == service,
+                _ => false,
+            })
+            .map(|exception| size(&exception.changes))
     }
-    if policy.connections <= policy.slots {
-        return Err(Error::Order("slots", "connections"));
+
+    /// Checks new values of a service together with the exceptions that apply on top of them.
+    fn check_service(&self, name: &name::Service, policy: &Policy) -> Result<(), Error> {
+        for domain in iter::once(Size::default()).chain(self.domain_sizes()) {
+            check_size(policy, domain, Size::default())?;
+            self.server_sizes(name).try_for_each(|server| check_size(policy, domain, server))?;
+        }
+        Ok(())
     }
-    match policy.idempotent_methods.iter().find(|method| !is_method(method)) {
-        Some(method) => Err(Error::Method(method.clone())),
-        None => Ok(()),
+
+    /// Checks an exception for a server together with those for failure domains.
+    fn check_server(&self, name: &name::Service, server: Size) -> Result<(), Error> {
+        let policy = &self.known(name)?.policy;
+        self.domain_sizes().try_for_each(|domain| check_size(policy, domain, server))
     }
-}
 
-/// Rejects changes for one server or failure domain that would have to be known before a server is chosen.
-fn check_server_values(changes: &Override) -> Result<(), Error> {
-    let request_values = [
-        ("queue", changes.queue.is_some()),
-        ("timeout_ms", changes.timeout.is_some()),
-        ("max_timeout_ms", changes.max_timeout.is_some()),
-        ("attempts", changes.attempts.is_some()),
-        ("retry_permille", changes.retry_permille.is_some()),
-        ("retry_burst", changes.retry_burst.is_some()),
-        ("address_ttl_ms", changes.address_ttl.is_some()),
-        ("body_limit_bytes", changes.body_limit.is_some()),
-        ("idempotent_methods", changes.idempotent_methods.is_some()),
-    ];
-    match request_values.iter().find(|(_, changed)| *changed) {
-        Some((field, _)) => Err(Error::RequestValue(field)),
-        None => Ok(()),
+    /// Checks an exception for a failure domain together with each service and the exceptions for its servers.
+    fn check_domain(&self, domain: Size) -> Result<(), Error> {
+        for (name, service) in &self.config.services {
+            check_size(&service.policy, domain, Size::default())?;
+            self.server_sizes(name)
+                .try_for_each(|server| check_size(&service.policy, domain, server))?;
+        }
+        Ok(())
+    }
+
+    /// The finished configuration.
+    pub fn build(self) -> Config {
+        self.config
     }
 }
 
-fn check_range(field: &'static str, value: u64, range: RangeInclusive<u64>) -> Result<(), Error> {
-    if range.contains(&value) { Ok(()) } else { Err(Error::Range(field, value, range)) }
+/// Rejects changes for one server or failure domain that would have to be known before a server is chosen.
+fn check_scope(exception: &Exception) -> Result<(), Error> {
+    FIELDS
+        .iter()
+        .filter(|field| exception.changes.changes(field.name))
+        .try_for_each(|field| field.check_scope(&exception.scope))
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+/// Slots and connections of an override; `None` where it leaves them as they are.
+type Size = (Option<u32>, Option<u32>);
+
+fn size(changes: &Override) -> Size {
+    (changes.slots, changes.connections)
 }
 
-fn is_method(method: &str) -> bool {
-    !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase())
+/// Checks slots and connections of a server to which both overrides apply, the second over the first.
+fn check_size(policy: &Policy, first: Size, second: Size) -> Result<(), Error> {
+    let slots = second.0.or(first.0).unwrap_or(policy.slots);
+    let connections = second.1.or(first.1).unwrap_or(policy.connections);
+    field::check_connections(slots, connections)
 }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -5,6 +5,7 @@
 
 mod build;
 mod explain;
+mod field;
 mod policy;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,9 @@
 pub use self::build::Error;
 pub use self::explain::Origin;
 pub use self::explain::Setting;
+pub use self::field::FIELDS;
+pub use self::field::Field;
+pub use self::field::Kind;
 pub use self::policy::Override;
 pub use self::policy::Policy;
 
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder until the first module lands.
+//! Reads and checks the documents that the platform publishes: the configuration (TOML) and the VM list (JSON).
+//!
+//! Reading is a pure conversion from text to the validated types of `jackdawpin_core`. Ranges and other rules are
+//! decided there; this crate finds the place of each fault in the text. It reports as many faults as it can find in
+//! one pass, so that operators do not have to publish a document once per mistake.
+
+pub mod config;
+mod fault;
+pub mod vms;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+pub use self::fault::Fault;
+pub use self::fault::Faults;
+
+/// Largest document in bytes: the platform stores values of up to 1 MB.
+pub const MAX_SIZE: usize = 1 << 20;
+
+/// Digest that orders documents of the same revision or version: xxh3, 64 bits.
+pub fn digest(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
