Keep checking of exceptions linear in the size of a document

The builder compared each exception with all others, for equal scopes and for sizes that do not fit together. It now keeps sets of the scopes and of the distinct sizes.

--- a/crates/core/src/config/build.rs
+++ b/crates/core/src/config/build.rs
@@ -1,5 +1,5 @@
 use std::collections::BTreeMap;
-use std::iter;
+use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
 
 use quick_error::quick_error;
@@ -75,9 +75,17 @@
 }
 
 /// Collects the parts of a configuration and checks each as it is added.
+///
+/// The sets keep the checks fast for the largest document, which has room for some 20,000 exceptions.
 #[derive(Debug)]
 pub struct Builder {
     config: Config,
+    scopes: BTreeSet<Scope>,
+    outages: BTreeSet<name::Domain>,
+    /// The distinct sizes in exceptions for failure domains; any server may be in any of them.
+    domain_sizes: BTreeSet<Size>,
+    /// The distinct sizes in exceptions for servers of each service.
+    server_sizes: BTreeMap<name::Service, BTreeSet<Size>>,
 }
 
 impl Default for Builder {
@@ -109,7 +117,13 @@
             exceptions: Vec::new(),
             outages: Vec::new(),
         };
-        Self { config }
+        Self {
+            config,
+            scopes: BTreeSet::new(),
+            outages: BTreeSet::new(),
+            domain_sizes: BTreeSet::new(),
+            server_sizes: BTreeMap::new(),
+        }
     }
 
     /// Adds a service.
@@ -146,7 +160,7 @@
         if exception.changes == Override::default() && !exception.out {
             return Err(Error::EmptyException);
         }
-        if self.config.exceptions.iter().any(|other| other.scope == exception.scope) {
+        if self.scopes.contains(&exception.scope) {
             return Err(Error::DuplicateException);
         }
         check_scope(&exception)?;
@@ -164,15 +178,20 @@
                 let mut policy = self.known(name)?.policy.clone();
                 policy.apply(&exception.changes);
                 policy.check()?;
-                self.check_server(name, size(&exception.changes))?;
+                let size = size(&exception.changes);
+                self.check_server(name, size)?;
+                self.server_sizes.entry(name.clone()).or_default().insert(size);
             }
             Scope::Domain(_) => {
                 let mut policy = self.config.defaults.clone();
                 policy.apply(&exception.changes);
                 policy.check()?;
-                self.check_domain(size(&exception.changes))?;
+                let size = size(&exception.changes);
+                self.check_domain(size)?;
+                self.domain_sizes.insert(size);
             }
         }
+        self.scopes.insert(exception.scope.clone());
         self.config.exceptions.push(exception);
         Ok(self)
     }
@@ -183,7 +202,7 @@
     ///
     /// The failure domain is out of service already.
     pub fn outage(&mut self, outage: Outage) -> Result<&mut Self, Error> {
-        if self.config.is_out(&outage.domain) {
+        if !self.outages.insert(outage.domain.clone()) {
             return Err(Error::DuplicateOutage(outage.domain));
         }
         self.config.outages.push(outage);
@@ -194,50 +213,34 @@
         self.config.services.get(name).ok_or_else(|| Error::UnknownService(name.clone()))
     }
 
-    /// Sizes in exceptions for failure domains; any server may be in any of them.
-    fn domain_sizes(&self) -> impl Iterator<Item = Size> {
-        self.config
-            .exceptions
-            .iter()
-            .filter(|exception| matches!(exception.scope, Scope::Domain(_)))
-            .map(|exception| size(&exception.changes))
-    }
-
-    /// Sizes in exceptions for servers of the service.
-    fn server_sizes(&self, service: &name::Service) -> impl Iterator<Item = Size> {
-        self.config
-            .exceptions
-            .iter()
-            .filter(move |exception| match &exception.scope {
-                Scope::Server(name, _) => name == service,
-                _ => false,
-            })
-            .map(|exception| size(&exception.changes))
-    }
-
     /// Checks new values of a service together with the exceptions that apply on top of them.
     fn check_service(&self, name: &name::Service, policy: &Policy) -> Result<(), Error> {
-        for domain in iter::once(Size::default()).chain(self.domain_sizes()) {
-            check_size(policy, domain, Size::default())?;
-            self.server_sizes(name).try_for_each(|server| check_size(policy, domain, server))?;
-        }
-        Ok(())
+        self.check_servers(name, policy, Size::default())?;
+        self.domain_sizes.iter().try_for_each(|domain| self.check_servers(name, policy, *domain))
     }
 
     /// Checks an exception for a server together with those for failure domains.
     fn check_server(&self, name: &name::Service, server: Size) -> Result<(), Error> {
         let policy = &self.known(name)?.policy;
-        self.domain_sizes().try_for_each(|domain| check_size(policy, domain, server))
+        self.domain_sizes.iter().try_for_each(|domain| check_size(policy, *domain, server))
     }
 
-    /// Checks an exception for a failure domain together with each service and the exceptions for its servers.
+    /// Checks an exception for a failure domain together with each service.
     fn check_domain(&self, domain: Size) -> Result<(), Error> {
-        for (name, service) in &self.config.services {
-            check_size(&service.policy, domain, Size::default())?;
-            self.server_sizes(name)
-                .try_for_each(|server| check_size(&service.policy, domain, server))?;
-        }
-        Ok(())
+        let mut services = self.config.services.iter();
+        services.try_for_each(|(name, service)| self.check_servers(name, &service.policy, domain))
+    }
+
+    /// Checks values of a service in one failure domain, without and with each exception for a server.
+    fn check_servers(
+        &self,
+        name: &name::Service,
+        policy: &Policy,
+        domain: Size,
+    ) -> Result<(), Error> {
+        check_size(policy, domain, Size::default())?;
+        let mut servers = self.server_sizes.get(name).into_iter().flatten();
+        servers.try_for_each(|server| check_size(policy, domain, *server))
     }
 
     /// The finished configuration.
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -49,7 +49,7 @@
 }
 
 /// What an exception applies to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Scope {
     /// All servers of a service.
     Service(name::Service),
