--- a/crates/core/src/config/build.rs
+++ b/crates/core/src/config/build.rs
@@ -1,16 +1,18 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
-use std::time::Duration;
 
 use quick_error::quick_error;
 
 use super::Config;
 use super::Exception;
+use super::FIELDS;
 use super::Outage;
 use super::Override;
 use super::Policy;
 use super::Scope;
 use super::Service;
+use super::field;
 use crate::name;
 
 quick_error! {
@@ -25,6 +27,10 @@
         Order(smaller: &'static str, larger: &'static str) {
             display("{} must not be larger than {}", smaller, larger)
         }
+        /// A server accepts no more connections than it runs requests.
+        Connections {
+            display("connections must be larger than slots")
+        }
         /// The revision is zero.
         Revision {
             display("revision must be at least 1")
@@ -69,9 +75,24 @@
 }
 
 /// Collects the parts of a configuration and checks each as it is added.
+///
+/// The sets keep the checks fast for the largest document, which has room for some 20,000 exceptions.
 #[derive(Debug)]
 pub struct Builder {
     config: Config,
+    scopes: BTreeSet<Scope>,
+    outages: BTreeSet<name::Domain>,
+    /// The distinct sizes in exceptions for failure domains; any server may be in any of them.
+    domain_sizes: BTreeSet<Size>,
+    /// The distinct sizes in exceptions for servers of each service.
+    server_sizes: BTreeMap<name::Service, BTreeSet<Size>>,
+}
+
+impl Default for Builder {
+    /// Starts a configuration with revision 1 and the built-in values.
+    fn default() -> Self {
+        Self::start(1, Policy::default())
+    }
 }
 
 impl Builder {
@@ -84,7 +105,11 @@
         if revision == 0 {
             return Err(Error::Revision);
         }
-        check_policy(&defaults)?;
+        defaults.check()?;
+        Ok(Self::start(revision, defaults))
+    }
+
+    fn start(revision: u64, defaults: Policy) -> Self {
         let config = Config {
             revision,
             defaults,
@@ -92,7 +117,13 @@
             exceptions: Vec::new(),
             outages: Vec::new(),
         };
-        Ok(Self { config })
+        Self {
+            config,
+            scopes: BTreeSet::new(),
+            outages: BTreeSet::new(),
+            domain_sizes: BTreeSet::new(),
+            server_sizes: BTreeMap::new(),
+        }
     }
 
     /// Adds a service.
@@ -114,7 +145,7 @@
         }
         let mut policy = self.config.defaults.clone();
         policy.apply(&changes);
-        check_policy(&policy)?;
+        policy.check()?;
         self.config.services.insert(name, Service { changes, policy, idempotent_paths });
         Ok(self)
     }
@@ -123,44 +154,44 @@
     ///
     /// # Errors
     ///
-    /// The service does not exist, the scope has an exception already, nothing is changed, or a value is out of range.
+    /// The service does not exist, the scope has an exception already, nothing is changed, a value is out of range or
+    /// does not fit the other values of a server to which the exception applies.
     pub fn exception(&mut self, exception: Exception) -> Result<&mut Self, Error> {
         if exception.changes == Override::default() && !exception.out {
             return Err(Error::EmptyException);
         }
-        if self.config.exceptions.iter().any(|other| other.scope == exception.scope) {
+        if self.scopes.contains(&exception.scope) {
             return Err(Error::DuplicateException);
         }
+        check_scope(&exception)?;
         match &exception.scope {
             Scope::Service(name) => {
-                let service = self
-                    .config
-                    .services
-                    .get_mut(name)
-                    .ok_or_else(|| Error::UnknownService(name.clone()))?;
-                let mut policy = service.policy.clone();
+                let mut policy = self.known(name)?.policy.clone();
                 policy.apply(&exception.changes);
-                check_policy(&policy)?;
-                service.policy = policy;
+                policy.check()?;
+                self.check_service(name, &policy)?;
+                if let Some(service) = self.config.services.get_mut(name) {
+                    service.policy = policy;
+                }
             }
             Scope::Server(name, _) => {
-                let service = self
-                    .config
-                    .services
-                    .get(name)
-                    .ok_or_else(|| Error::UnknownService(name.clone()))?;
-                check_server_values(&exception.changes)?;
-                let mut policy = service.policy.clone();
+                let mut policy = self.known(name)?.policy.clone();
                 policy.apply(&exception.changes);
-                check_policy(&policy)?;
+                policy.check()?;
+                let size = size(&exception.changes);
+                self.check_server(name, size)?;
+                self.server_sizes.entry(name.clone()).or_default().insert(size);
             }
             Scope::Domain(_) => {
-                check_server_values(&exception.changes)?;
                 let mut policy = self.config.defaults.clone();
                 policy.apply(&exception.changes);
-                check_policy(&policy)?;
+                policy.check()?;
+                let size = size(&exception.changes);
+                self.check_domain(size)?;
+                self.domain_sizes.insert(size);
             }
         }
+        self.scopes.insert(exception.scope.clone());
         self.config.exceptions.push(exception);
         Ok(self)
     }
@@ -171,72 +202,71 @@
     ///
     /// The failure domain is out of service already.
     pub fn outage(&mut self, outage: Outage) -> Result<&mut Self, Error> {
-        if self.config.is_out(&outage.domain) {
+        if !self.outages.insert(outage.domain.clone()) {
             return Err(Error::DuplicateOutage(outage.domain));
         }
         self.config.outages.push(outage);
         Ok(self)
     }
 
-    /// The finished configuration.
-    pub fn build(self) -> Config {
-        self.config
+    fn known(&self, name: &name::Service) -> Result<&Service, Error> {
+        self.config.services.get(name).ok_or_else(|| Error::UnknownService(name.clone()))
     }
-}
 
-fn check_policy(policy: &Policy) -> Result<(), Error> {
-    check_range("slots", policy.slots.into(), 1..=1_000)?;
-    check_range("connections", policy.connections.into(), 1..=100_000)?;
-    check_range("queue", policy.queue.into(), 0..=100_000)?;
-    check_range("timeout_ms", millis(policy.timeout), 1..=600_000)?;
-    check_range("max_timeout_ms", millis(policy.max_timeout), 1..=600_000)?;
-    check_range("attempts", policy.attempts.into(), 1..=10)?;
-    check_range("retry_permille", policy.retry_permille.into(), 0..=1_000)?;
-    check_range("retry_burst", policy.retry_burst.into(), 0..=10_000)?;
-    check_range("probes_per_minute", policy.probes_per_minute.into(), 1..=6_000)?;
-    check_range("address_ttl_ms", millis(policy.address_ttl), 100..=60_000)?;
-    check_range("warm_after", policy.warm_after.into(), 1..=1_000)?;
-    check_range("cold_factor", policy.cold_factor.into(), 2..=1_000)?;
-    check_range("body_limit_bytes", policy.body_limit, 1..=64 << 20)?;
-    if policy.timeout > policy.max_timeout {
-        return Err(Error::Order("timeout_ms", "max_timeout_ms"));
+    /// Checks new values of a service together with the exceptions that apply on top of them.
+    fn check_service(&self, name: &name::Service, policy: &Policy) -> Result<(), Error> {
+        self.check_servers(name, policy, Size::default())?;
+        self.domain_sizes.iter().try_for_each(|domain| self.check_servers(name, policy, *domain))
     }
-    if policy.connections <= policy.slots {
-        return Err(Error::Order("slots", "connections"));
+
+    /// Checks an exception for a server together with those for failure domains.
+    fn check_server(&self, name: &name::Service, server: Size) -> Result<(), Error> {
+        let policy = &self.known(name)?.policy;
+        self.domain_sizes.iter().try_for_each(|domain| check_size(policy, *domain, server))
     }
-    match policy.idempotent_methods.iter().find(|method| !is_method(method)) {
-        Some(method) => Err(Error::Method(method.clone())),
-        None => Ok(()),
+
+    /// Checks an exception for a failure domain together with each service.
+    fn check_domain(&self, domain: Size) -> Result<(), Error> {
+        let mut services = self.config.services.iter();
+        services.try_for_each(|(name, service)| self.check_servers(name, &service.policy, domain))
     }
-}
 
-/// Rejects changes for one server or failure domain that would have to be known before a server is chosen.
-fn check_server_values(changes: &Override) -> Result<(), Error> {
-    let request_values = [
-        ("queue", changes.queue.is_some()),
-        ("timeout_ms", changes.timeout.is_some()),
-        ("max_timeout_ms", changes.max_timeout.is_some()),
-        ("attempts", changes.attempts.is_some()),
-        ("retry_permille", changes.retry_permille.is_some()),
-        ("retry_burst", changes.retry_burst.is_some()),
-        ("address_ttl_ms", changes.address_ttl.is_some()),
-        ("body_limit_bytes", changes.body_limit.is_some()),
-        ("idempotent_methods", changes.idempotent_methods.is_some()),
-    ];
-    match request_values.iter().find(|(_, changed)| *changed) {
-        Some((field, _)) => Err(Error::RequestValue(field)),
-        None => Ok(()),
+    /// Checks values of a service in one failure domain, without and with each exception for a server.
+    fn check_servers(
+        &self,
+        name: &name::Service,
+        policy: &Policy,
+        domain: Size,
+    ) -> Result<(), Error> {
+        check_size(policy, domain, Size::default())?;
+        let mut servers = self.server_sizes.get(name).into_iter().flatten();
+        servers.try_for_each(|server| check_size(policy, domain, *server))
+    }
+
+    /// The finished configuration.
+    pub fn build(self) -> Config {
+        self.config
     }
 }
 
-fn check_range(field: &'static str, value: u64, range: RangeInclusive<u64>) -> Result<(), Error> {
-    if range.contains(&value) { Ok(()) } else { Err(Error::Range(field, value, range)) }
+/// Rejects changes for one server or failure domain that would have to be known before a server is chosen.
+fn check_scope(exception: &Exception) -> Result<(), Error> {
+    FIELDS
+        .iter()
+        .filter(|field| exception.changes.changes(field.name))
+        .try_for_each(|field| field.check_scope(&exception.scope))
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+/// Slots and connections of an override; `None` where it leaves them as they are.
+type Size = (Option<u32>, Option<u32>);
+
+fn size(changes: &Override) -> Size {
+    (changes.slots, changes.connections)
 }
 
-fn is_method(method: &str) -> bool {
-    !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase())
+/// Checks slots and connections of a server to which both overrides apply, the second over the first.
+fn check_size(policy: &Policy, first: Size, second: Size) -> Result<(), Error> {
+    let slots = second.0.or(first.0).unwrap_or(policy.slots);
+    let connections = second.1.or(first.1).unwrap_or(policy.connections);
+    field::check_connections(slots, connections)
 }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -5,6 +5,7 @@
 
 mod build;
 mod explain;
+mod field;
 mod policy;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,9 @@
 pub use self::build::Error;
 pub use self::explain::Origin;
 pub use self::explain::Setting;
+pub use self::field::FIELDS;
+pub use self::field::Field;
+pub use self::field::Kind;
 pub use self::policy::Override;
 pub use self::policy::Policy;
 
@@ -45,7 +49,7 @@
 }
 
 /// What an exception applies to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Scope {
     /// All servers of a service.
     Service(name::Service),
