--- a/crates/core/src/control/beat.rs
+++ b/crates/core/src/control/beat.rs
@@ -40,7 +40,11 @@
         loop {
             let next = self.clock().now() + INTERVAL;
             self.beat().await;
-            self.clock().sleep_until(next).await;
+            // Peers take over the servers of a leaving entry without waiting for the next round.
+            tokio::select! {
+                () = self.clock().sleep_until(next) => {}
+                () = self.leaving.notified() => {}
+            }
         }
     }
 
--- a/crates/core/src/control/claims.rs
+++ b/crates/core/src/control/claims.rs
@@ -70,7 +70,7 @@
         let wanted: Vec<_> = targets
             .filter_map(|target| {
                 let vm = intent.list.vm(target.server.as_str())?;
-                Some((target, table.witnesses(vm)))
+                Some((target, table.witnesses(vm).into_vec()))
             })
             .collect();
         let now = self.clock().now();
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -70,6 +70,7 @@
     probes: Mutex<Probes>,
     basis: Mutex<Option<Basis>>,
     changed: Notify,
+    leaving: Notify,
 }
 
 /// Joins the time line with the wall clock.
@@ -100,6 +101,7 @@
             probes: Mutex::new(Rank::Members, Probes::default()),
             basis: Mutex::new(Rank::Intent, None),
             changed: Notify::new(),
+            leaving: Notify::new(),
             identity,
             seeds,
             start,
@@ -141,6 +143,7 @@
         self.tables.gate.leave();
         self.record(Event::Stopping);
         self.changed.notify_one();
+        self.leaving.notify_one();
     }
 
     fn clock(&self) -> &O::Clock {
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -50,6 +50,7 @@
 pub use self::route::Contact;
 pub use self::route::Route;
 pub use self::route::Routes;
+pub use self::scout::SCOUTS;
 
 /// Events kept for the time line, some hundred kilobytes.
 const EVENTS: usize = 4_096;
--- a/crates/core/src/flow/scout.rs
+++ b/crates/core/src/flow/scout.rs
@@ -2,10 +2,10 @@
 
 use tokio_util::sync::CancellationToken;
 
-use super::Route;
 use super::Router;
 use crate::name;
 use crate::pool::Lead;
+use crate::pool::Pool;
 use crate::port::Clock;
 use crate::port::Peer;
 use crate::port::Ports;
@@ -23,11 +23,11 @@
 
 impl<O: Ports> Router<O> {
     /// Looks for room at peers while requests wait for the service, until cancelled.
-    pub async fn scout(&self, route: &Route, cancel: &CancellationToken) {
+    pub async fn scout(&self, pool: &Pool, cancel: &CancellationToken) {
         let search = async {
             loop {
-                route.pool().demand().await;
-                self.search(route).await;
+                pool.demand().await;
+                self.search(pool).await;
             }
         };
         tokio::select! {
@@ -36,13 +36,13 @@
         }
     }
 
-    async fn search(&self, route: &Route) {
+    async fn search(&self, pool: &Pool) {
         let start = self.clock().now();
-        let service = route.pool().service();
+        let service = pool.service();
         let holders = self.tables.peers.holding(service.as_str(), start);
         let index = self.ports.random().below(holders.len() as u64) as usize;
         let free = match holders.get(index).and_then(|room| self.contact(&room.vm)) {
-            Some(holder) => self.ask(&holder, route, start + WAIT).await,
+            Some(holder) => self.ask(&holder, pool, start + WAIT).await,
             None => 0,
         };
         if free == 0 {
@@ -55,11 +55,11 @@
         Some(Lead { vm: vm.clone(), address })
     }
 
-    async fn ask(&self, holder: &Lead, route: &Route, deadline: Instant) -> u32 {
+    async fn ask(&self, holder: &Lead, pool: &Pool, deadline: Instant) -> u32 {
         let free =
-            self.ports.peer().vacancy(holder.address, route.pool().service(), deadline).await;
+            self.ports.peer().vacancy(holder.address, pool.service(), deadline).await;
         for _ in 0..free {
-            if !route.pool().lead(holder) {
+            if !pool.lead(holder) {
                 break;
             }
         }
--- /dev/null
+++ b/crates/daemon/src/adapters/mod.rs
@@ -0,0 +1,63 @@
+//! The adapters of this program, joined for the decisions.
+
+use std::sync::Arc;
+
+use jackdawpin_core::port::Ports;
+
+use crate::clock::Boot;
+use crate::clock::Random;
+use crate::exchange::Client;
+use crate::peer::Peer;
+use crate::reader::Reader;
+use crate::upstream::Upstream;
+
+/// The adapters.
+#[derive(Debug)]
+pub struct Adapters {
+    clock: Boot,
+    random: Random,
+    upstream: Upstream<Boot>,
+    peer: Peer<Boot>,
+    reader: Reader,
+}
+
+impl Default for Adapters {
+    fn default() -> Self {
+        let client = Arc::new(Client::default());
+        Self {
+            clock: Boot,
+            random: Random,
+            upstream: Upstream::new(client.clone(), Boot),
+            peer: Peer::new(client, Boot),
+            reader: Reader,
+        }
+    }
+}
+
+impl Ports for Adapters {
+    type Clock = Boot;
+    type Random = Random;
+    type Upstream = Upstream<Boot>;
+    type Peer = Peer<Boot>;
+    type Reader = Reader;
+
+    fn clock(&self) -> &Boot {
+        &self.clock
+    }
+
+    fn random(&self) -> &Random {
+        &self.random
+    }
+
+    fn upstream(&self) -> &Upstream<Boot> {
+        &self.upstream
+    }
+
+    fn peer(&self) -> &Peer<Boot> {
+        &self.peer
+    }
+
+    fn reader(&self) -> &Reader {
+        &self.reader
+    }
+}
--- a/crates/daemon/src/clock/mod.rs
+++ b/crates/daemon/src/clock/mod.rs
@@ -31,6 +31,11 @@
         Instant::from_nanos(seconds.saturating_mul(NANOS_PER_SECOND).saturating_add(nanos))
     }
 
+    fn wall_millis(&self) -> u64 {
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+
     async fn sleep_until(&self, at: Instant) {
         loop {
             let left = at.since(self.now());
@@ -42,13 +47,6 @@
     }
 }
 
-/// Milliseconds since 1970-01-01 UTC on the wall clock, for the time line only: this clock can go
-/// back.
-pub fn wall_millis() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Random numbers from a generator per thread.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Random;
--- /dev/null
+++ b/crates/daemon/src/control/admin.rs
@@ -0,0 +1,209 @@
+use http::Uri;
+use jackdawpin_core::config::Origin;
+use jackdawpin_core::event::Record;
+use jackdawpin_core::flow::Route;
+use jackdawpin_core::intent::Refusal;
+use jackdawpin_core::lease::Target;
+use jackdawpin_core::ledger::Totals;
+use jackdawpin_core::member::Role;
+use jackdawpin_core::member::State;
+use jackdawpin_core::name;
+use jackdawpin_core::pool::View;
+use jackdawpin_core::pool::Warmth;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Ports;
+use jackdawpin_core::rank;
+use jackdawpin_core::time::Instant;
+use jackdawpin_wire as wire;
+
+use super::Error;
+use super::Listener;
+use crate::peer::convert;
+use crate::query;
+
+/// Events on a page of the time line.
+const PAGE: usize = 256;
+
+impl<O: Ports> Listener<O> {
+    pub(super) fn status(&self) -> wire::Status {
+        let now = self.router.clock().now();
+        let tables = self.router.tables();
+        let identity = self.control.identity();
+        let (config, list) = (tables.intent.config(), tables.intent.list());
+        let platform = tables.intent.platform();
+        wire::Status {
+            vm: identity.vm.to_string(),
+            domain: identity.domain.to_string(),
+            program: env!("CARGO_PKG_VERSION").to_owned(),
+            incarnation: identity.incarnation,
+            uptime_ms: age(now, self.control.start()),
+            ready: tables.gate.is_ready(),
+            leaving: tables.gate.is_leaving(),
+            fenced: tables.gate.is_fenced(now),
+            platform_age_ms: platform.answered.map(|at| age(now, at)),
+            config: config.accepted.map(|accepted| convert::order(accepted.order)),
+            config_refused: config.refusal.as_ref().map(refused),
+            vms: list.accepted.map(|accepted| convert::order(accepted.order)),
+            vms_refused: list.refusal.as_ref().map(refused),
+            entries: self.entries(now),
+            services: self.services(now),
+            totals: totals(&tables.ledger.sum()),
+        }
+    }
+
+    pub(super) fn explain(&self, uri: &Uri) -> Result<wire::Explanation, Error> {
+        let service = query::value(uri, "service").ok_or(Error::Query("service"))?;
+        let server = query::value(uri, "server").ok_or(Error::Query("server"))?;
+        let intent = self.router.tables().intent.snapshot();
+        let intent = intent.ok_or(Error::Missing("the configuration"))?;
+        let listed = intent.list.vm(&server).ok_or(Error::Missing("the server"))?;
+        let of_service = |name: &name::Service| name.as_str() == service;
+        if !matches!(&listed.role, Role::Server { service, .. } if of_service(service)) {
+            return Err(Error::Missing("the server"));
+        }
+        let config = &intent.config;
+        let settings = config.explain(&service, &listed.name, &listed.domain);
+        let settings = settings.ok_or(Error::Missing("the service"))?;
+        let out = config.out_reason(&service, &listed.name, &listed.domain);
+        let now = self.router.clock().now();
+        let holder = rank::holder(&intent.list, listed, |vm| {
+            self.router.tables().peers.available(vm, now)
+        });
+        Ok(wire::Explanation {
+            service: service.clone(),
+            server: server.clone(),
+            domain: listed.domain.to_string(),
+            config: convert::order(intent.config_order),
+            out: match listed.state {
+                State::Leaving => Some("the VM list says that it is leaving".to_owned()),
+                State::Live => out.map(|reason| reason.as_str().to_owned()),
+            },
+            holder: holder.map(|vm| vm.name.to_string()),
+            settings: settings.iter().map(setting).collect(),
+        })
+    }
+
+    pub(super) fn timeline(&self, uri: &Uri) -> Result<wire::Page, Error> {
+        let after = match query::value(uri, "after") {
+            None => 0,
+            Some(text) => text.parse().map_err(|_| Error::Query("after"))?,
+        };
+        let (dropped, records) = self.router.tables().timeline.after(after, PAGE);
+        let identity = self.control.identity();
+        Ok(wire::Page {
+            vm: identity.vm.to_string(),
+            incarnation: identity.incarnation,
+            dropped,
+            events: records.iter().map(event).collect(),
+        })
+    }
+
+    fn entries(&self, now: Instant) -> Vec<wire::Entry> {
+        let tables = self.router.tables();
+        let routes = tables.routes();
+        let entry = |known: jackdawpin_core::member::Known| {
+            let contact = routes.entry(&known.vm);
+            wire::Entry {
+                vm: known.vm.to_string(),
+                address: contact.map_or_else(String::new, |contact| contact.control.to_string()),
+                leaving: known.listing == Some(State::Leaving),
+                age_ms: known.heard.map(|at| age(now, at)),
+            }
+        };
+        tables.peers.all().into_iter().map(entry).collect()
+    }
+
+    fn services(&self, now: Instant) -> Vec<wire::Service> {
+        let tables = self.router.tables();
+        let routes = tables.routes();
+        let mut services: Vec<_> = routes
+            .iter()
+            .map(|(name, route)| self.service(now, name, route))
+            .collect();
+        services.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        services
+    }
+
+    fn service(&self, now: Instant, name: &name::Service, route: &Route) -> wire::Service {
+        let (p50_us, p99_us) = self.metrics.latency(name.as_str());
+        let views = route.pool().views(now);
+        wire::Service {
+            name: name.to_string(),
+            waiting: u32::try_from(route.pool().waiting()).unwrap_or(u32::MAX),
+            totals: totals(&self.router.tables().ledger.totals(name.as_str())),
+            p50_us,
+            p99_us,
+            servers: views.iter().map(|view| self.server(name, view)).collect(),
+        }
+    }
+
+    fn server(&self, service: &name::Service, view: &View) -> wire::Server {
+        let target = Target { service: service.clone(), server: view.vm.clone() };
+        let (state, why) = state(view);
+        wire::Server {
+            vm: view.vm.to_string(),
+            address: view.address.to_string(),
+            domain: view.domain.to_string(),
+            state: state.to_owned(),
+            why,
+            limit: view.limit,
+            in_flight: view.in_flight,
+            latency_us: u64::try_from(view.latency.as_micros()).unwrap_or(u64::MAX),
+            probes: self.control.probes_sent(&target),
+        }
+    }
+}
+
+fn state(view: &View) -> (&'static str, String) {
+    if let Some(why) = &view.out {
+        return ("out", why.to_string());
+    }
+    let claim = if view.claimed { "claim confirmed" } else { "waits for a claim" };
+    match view.warmth {
+        Warmth::Cold(why) => ("cold", format!("{why}; {claim}")),
+        Warmth::Warming => ("warming", claim.to_owned()),
+        Warmth::Warm => ("warm", String::new()),
+    }
+}
+
+fn refused(refusal: &Refusal) -> String {
+    format!("{}: {}", refusal.order, refusal.reason)
+}
+
+fn setting(setting: &jackdawpin_core::config::Setting<'_>) -> wire::Setting {
+    let origin = match setting.origin {
+        Origin::Default => wire::Origin::Default,
+        Origin::Service => wire::Origin::Service,
+        Origin::Exception(scope, reason) => wire::Origin::Exception {
+            scope: scope.to_string(),
+            reason: reason.as_str().to_owned(),
+        },
+    };
+    wire::Setting { field: setting.field.to_owned(), value: setting.value.clone(), origin }
+}
+
+fn event(record: &Record) -> wire::Event {
+    wire::Event {
+        number: record.number,
+        stamp: convert::stamp(record.stamp),
+        kind: record.event.kind().to_owned(),
+        text: record.event.to_string(),
+        service: record.event.service().map(ToString::to_string),
+        vm: record.event.vm().map(ToString::to_string),
+    }
+}
+
+fn totals(totals: &Totals) -> wire::Totals {
+    wire::Totals {
+        accepted: totals.accepted,
+        answered: totals.answered,
+        refused: totals.refused,
+        unknown: totals.unknown,
+        abandoned: totals.abandoned,
+        in_flight: totals.in_flight,
+    }
+}
+
+fn age(now: Instant, at: Instant) -> u64 {
+    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -17,10 +17,7 @@
 use jackdawpin_core::control::Control;
 use jackdawpin_core::flow::Router;
 use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Mesh;
-use jackdawpin_core::port::Peer;
-use jackdawpin_core::port::Random;
-use jackdawpin_core::port::Upstream;
+use jackdawpin_core::port::Ports;
 use jackdawpin_wire as wire;
 use motore::service::Service;
 use quick_error::quick_error;
@@ -42,7 +39,7 @@
 quick_error! {
     /// Why a message of a peer or an operator is not served.
     #[derive(Debug)]
-    pub(crate) enum Error {
+    pub enum Error {
         /// The body was not read.
         Body(err: body::Error) {
             from()
@@ -90,20 +87,20 @@
 
 /// Serves other entries and operators.
 #[derive(Debug)]
-pub struct Listener<C, R, U, P> {
-    router: Arc<Router<C, R, U, P>>,
-    control: Arc<Control<C, R, U, P>>,
+pub struct Listener<O> {
+    router: Arc<Router<O>>,
+    control: Arc<Control<O>>,
     budget: Budget,
     body_timeout: Duration,
     metrics: Arc<Metrics>,
 }
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer + Mesh> Listener<C, R, U, P> {
+impl<O: Ports> Listener<O> {
     /// Creates the service for the control listener. All bodies together take at most `budget`, and
     /// one must arrive within `body_timeout`.
     pub fn new(
-        router: Arc<Router<C, R, U, P>>,
-        control: Arc<Control<C, R, U, P>>,
+        router: Arc<Router<O>>,
+        control: Arc<Control<O>>,
         budget: Budget,
         body_timeout: Duration,
         metrics: Arc<Metrics>,
@@ -165,9 +162,7 @@
     }
 }
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer + Mesh> Service<Context, Request<Incoming>>
-    for Listener<C, R, U, P>
-{
+impl<O: Ports> Service<Context, Request<Incoming>> for Listener<O> {
     type Response = Response<Full<Bytes>>;
     type Error = Infallible;
 
--- a/crates/daemon/src/front/call.rs
+++ b/crates/daemon/src/front/call.rs
@@ -7,10 +7,7 @@
 use hyper::body::Incoming;
 use jackdawpin_core::flow::Submission;
 use jackdawpin_core::outcome::Refusal;
-use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Peer;
-use jackdawpin_core::port::Random;
-use jackdawpin_core::port::Upstream;
+use jackdawpin_core::port::Ports;
 use jackdawpin_core::request::Content;
 use jackdawpin_core::request::Id;
 use quick_error::quick_error;
@@ -27,7 +24,7 @@
 quick_error! {
     /// Why a call is malformed.
     #[derive(Debug)]
-    pub(super) enum Error {
+    pub enum Error {
         Path {
             display("the path is not {}SERVICE/PATH", CALL)
         }
@@ -44,7 +41,7 @@
     }
 }
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer> Front<C, R, U, P> {
+impl<O: Ports> Front<O> {
     pub(super) async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let start = Instant::now();
         let (parts, body) = request.into_parts();
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -17,10 +17,7 @@
 use hyper::body::Incoming;
 use jackdawpin_core::flow::Router;
 use jackdawpin_core::outcome::Refusal;
-use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Peer;
-use jackdawpin_core::port::Random;
-use jackdawpin_core::port::Upstream;
+use jackdawpin_core::port::Ports;
 use motore::service::Service;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -38,18 +35,18 @@
 
 /// Serves callers.
 #[derive(Debug)]
-pub struct Front<C, R, U, P> {
-    router: Arc<Router<C, R, U, P>>,
+pub struct Front<O> {
+    router: Arc<Router<O>>,
     budget: Budget,
     body_timeout: Duration,
     metrics: Arc<Metrics>,
 }
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer> Front<C, R, U, P> {
+impl<O: Ports> Front<O> {
     /// Creates the service for the callers' listener. All bodies together take at most `budget`, and
     /// one must arrive within `body_timeout`.
     pub fn new(
-        router: Arc<Router<C, R, U, P>>,
+        router: Arc<Router<O>>,
         budget: Budget,
         body_timeout: Duration,
         metrics: Arc<Metrics>,
@@ -68,9 +65,7 @@
     }
 }
 
-impl<C: Clock, R: Random, U: Upstream, P: Peer> Service<Context, Request<Incoming>>
-    for Front<C, R, U, P>
-{
+impl<O: Ports> Service<Context, Request<Incoming>> for Front<O> {
     type Response = Response<Full<Bytes>>;
     type Error = Infallible;
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,16 +3,22 @@
 //! Its modules are adapters: each one turns messages, settings or system calls into calls of
 //! `jackdawpin-core`, and results into messages. Decisions are made in `jackdawpin-core` only.
 
+pub mod adapters;
 pub mod clock;
+pub mod control;
+pub mod exchange;
+pub mod front;
+pub mod headers;
 pub mod listen;
+pub mod logs;
+pub mod metrics;
+pub mod peer;
 pub mod platform;
+pub mod query;
+pub mod reader;
+mod run;
 pub mod settings;
+pub mod stop;
+pub mod upstream;
 
-use std::process::ExitCode;
-
-use crate::settings::Settings;
-
-/// Runs the daemon until it is told to stop.
-pub fn run(_: &Settings) -> ExitCode {
-    ExitCode::SUCCESS
-}
+pub use self::run::run;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -16,7 +16,7 @@
         Ok(Command::Help) => print!("{Help}"),
         Ok(Command::Version) => println!("jackdawpind {}", env!("CARGO_PKG_VERSION")),
         Ok(Command::Check(_)) => println!("the settings are valid"),
-        Ok(Command::Run(settings)) => return jackdawpin_daemon::run(&settings),
+        Ok(Command::Run(settings)) => return jackdawpin_daemon::run(settings),
         Err(problems) => {
             eprintln!("{problems}");
             return ExitCode::from(EXIT_INVALID);
--- /dev/null
+++ b/crates/daemon/src/peer/mesh.rs
@@ -0,0 +1,65 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jackdawpin_core::control::Claim;
+use jackdawpin_core::control::Grant;
+use jackdawpin_core::control::Hello;
+use jackdawpin_core::control::Kind;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Mesh;
+use jackdawpin_wire as wire;
+
+use super::Error;
+use super::Peer;
+use super::convert;
+
+impl<C: Clock> Mesh for Peer<C> {
+    async fn heartbeat(
+        &self,
+        address: SocketAddr,
+        hello: &Hello,
+        timeout: Duration,
+    ) -> Option<Hello> {
+        let path = wire::path::HEARTBEAT;
+        let answer = self.post(address, path, &convert::hello(hello), timeout).await;
+        let read = answer.and_then(|bytes| {
+            let beat: wire::Heartbeat = wire::decode(&bytes)?;
+            Ok(convert::read_hello(&beat)?)
+        });
+        logged("heartbeat", address, read)
+    }
+
+    async fn claim(
+        &self,
+        address: SocketAddr,
+        claim: &Claim<'_>,
+        timeout: Duration,
+    ) -> Option<Grant> {
+        let path = wire::path::LEASE;
+        let answer = self.post(address, path, &convert::claim(claim), timeout).await;
+        let read = answer.and_then(|bytes| Ok(convert::read_grant(wire::decode(&bytes)?)?));
+        logged("claim", address, read)
+    }
+
+    async fn document(
+        &self,
+        address: SocketAddr,
+        kind: Kind,
+        timeout: Duration,
+    ) -> Option<Vec<u8>> {
+        let path = match kind {
+            Kind::Config => wire::path::CONFIG,
+            Kind::List => wire::path::VMS,
+        };
+        let answer = self.get(address, path, timeout).await;
+        let read = answer.and_then(|bytes| {
+            let document: wire::Document<'_> = wire::decode(&bytes)?;
+            Ok(document.bytes.to_vec())
+        });
+        logged("document", address, read)
+    }
+}
+
+fn logged<T>(what: &str, address: SocketAddr, result: Result<T, Error>) -> Option<T> {
+    result.inspect_err(|err| log::debug!("{what} of {address} failed: {err}")).ok()
+}
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -1,6 +1,8 @@
 //! Sends messages to other entries over HTTP with MessagePack bodies.
 
+pub mod convert;
 pub mod forward;
+mod mesh;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -53,6 +55,12 @@
             source(err)
             display("{}", err)
         }
+        /// A name in the answer is not valid.
+        Name(err: name::Error) {
+            from()
+            source(err)
+            display("{}", err)
+        }
         /// The peer answered with an error.
         Status(status: StatusCode) {
             display("the peer answered {}", status)
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -14,6 +14,8 @@
 
 use std::fmt;
 
+use jackdawpin_core::time::Instant;
+
 pub use answer::Answer;
 pub use answer::MAX_VALUE_BYTES;
 pub use backoff::Backoff;
@@ -44,10 +46,10 @@
 
 /// Receives the results of reads.
 pub trait Sink: Send + Sync + 'static {
-    /// The platform answered with `value`, which may be the same as before: a good read shows that
-    /// the platform is heard.
-    fn read(&self, key: Key, value: &[u8]);
+    /// The platform answered a read sent at `asked` with `value`, which may be the same as before: a
+    /// good read shows that the platform is heard.
+    fn read(&self, key: Key, value: &[u8], asked: Instant);
 
-    /// A read failed.
-    fn failed(&self, key: Key, error: &Error);
+    /// A read sent at `asked` failed.
+    fn failed(&self, key: Key, error: &Error, asked: Instant);
 }
--- a/crates/daemon/src/platform/watch.rs
+++ b/crates/daemon/src/platform/watch.rs
@@ -61,13 +61,13 @@
                 Ok(answer) => {
                     backoff.reset();
                     index = next_index(index, answer.index);
-                    self.sink.read(key, &answer.value);
+                    self.sink.read(key, &answer.value, start);
                     start + MIN_INTERVAL
                 }
                 Err(error) => {
                     // The next read is answered at once and so shows that the platform is back.
                     index = 0;
-                    self.sink.failed(key, &error);
+                    self.sink.failed(key, &error, start);
                     self.clock.now() + backoff.wait(self.random)
                 }
             };
--- /dev/null
+++ b/crates/daemon/src/reader/mod.rs
@@ -0,0 +1,36 @@
+//! Reads documents for the decisions.
+
+use jackdawpin_core::config::Config;
+use jackdawpin_core::control::Kind;
+use jackdawpin_core::member::List;
+use jackdawpin_core::port;
+use jackdawpin_document as document;
+
+/// Reads the documents in the formats that operators and the platform publish.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Reader;
+
+impl port::Reader for Reader {
+    fn config(&self, bytes: &[u8]) -> Result<Config, String> {
+        document::config::read(text(bytes)?).map_err(|faults| faults.to_string())
+    }
+
+    fn list(&self, bytes: &[u8]) -> Result<List, String> {
+        document::vms::read(text(bytes)?).map_err(|faults| faults.to_string())
+    }
+
+    fn number(&self, kind: Kind, bytes: &[u8]) -> u64 {
+        let Ok(text) = text(bytes) else {
+            return 0;
+        };
+        let number = match kind {
+            Kind::Config => document::config::revision(text),
+            Kind::List => document::vms::version(text),
+        };
+        number.unwrap_or(0)
+    }
+}
+
+fn text(bytes: &[u8]) -> Result<&str, String> {
+    std::str::from_utf8(bytes).map_err(|err| format!("the document is not UTF-8: {err}"))
+}
--- /dev/null
+++ b/crates/daemon/src/run/error.rs
@@ -0,0 +1,34 @@
+use std::io;
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+
+use crate::platform;
+
+quick_error! {
+    /// Why the daemon cannot run.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The worker threads could not be started.
+        Runtime(err: io::Error) {
+            source(err)
+            display("cannot start the worker threads: {}", err)
+        }
+        /// Signals cannot be received.
+        Signal(err: io::Error) {
+            source(err)
+            display("cannot receive signals: {}", err)
+        }
+        /// A listener could not be bound.
+        Bind(name: &'static str, address: SocketAddr, err: io::Error) {
+            source(err)
+            display("cannot listen on {} (--{}): {}", address, name, err)
+        }
+        /// The client for the platform could not be set up.
+        Platform(err: platform::Error) {
+            from()
+            source(err)
+            display("cannot set up the client for the platform: {}", err)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run/mod.rs
@@ -0,0 +1,218 @@
+//! Joins the adapters and runs the daemon until its planned stop has ended.
+
+mod error;
+mod scouts;
+mod sink;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawpin_core::control::Control;
+use jackdawpin_core::control::Identity;
+use jackdawpin_core::flow::Router;
+use jackdawpin_core::flow::Tables;
+use jackdawpin_core::member::Peers;
+use jackdawpin_core::port::Clock;
+use prometheus_client::metrics::gauge::Gauge;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::adapters::Adapters;
+use crate::clock;
+use crate::control::Listener;
+use crate::front::Front;
+use crate::listen;
+use crate::listen::Budget;
+use crate::listen::Counters;
+use crate::logs;
+use crate::metrics::Metrics;
+use crate::platform;
+use crate::platform::Http;
+use crate::platform::Key;
+use crate::platform::Watch;
+use crate::settings::Settings;
+use crate::stop::Signals;
+
+use self::error::Error;
+use self::sink::Sink;
+
+/// How long a planned stop waits beyond the life of an address answer: a request that a caller sends
+/// at its end is under way for a one-way latency of about 10 ms, and callers' timers are not exact.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// The parts of a running daemon.
+struct Daemon {
+    settings: Settings,
+    router: Arc<Router<Adapters>>,
+    control: Arc<Control<Adapters>>,
+    metrics: Arc<Metrics>,
+    budget: Budget,
+    /// Ends the tasks that serve no request.
+    cancel: CancellationToken,
+}
+
+/// Runs the daemon until it is told to stop.
+pub fn run(settings: Settings) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.workers)
+        .enable_all()
+        .build();
+    let writer = match logs::start(settings.log, &settings.vm) {
+        Ok(writer) => writer,
+        Err(err) => {
+            eprintln!("cannot start the log: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(serve(settings)),
+        Err(err) => Err(Error::Runtime(err)),
+    };
+    let code = match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("{err}");
+            ExitCode::FAILURE
+        }
+    };
+    drop(writer);
+    code
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let signals = Signals::new().map_err(Error::Signal)?;
+    let stop = CancellationToken::new();
+    tokio::spawn(signals.run(stop.clone()));
+    let callers = bind("listen", settings.listen)?;
+    let peers = bind("control", settings.control)?;
+    let platform = Http::new(settings.platform)?;
+    let daemon = Daemon::new(settings);
+    daemon.spawn_tasks(platform);
+    let front_stop = CancellationToken::new();
+    let control_stop = CancellationToken::new();
+    let front = daemon.spawn_front(callers, &front_stop);
+    let control = daemon.spawn_control(peers, &control_stop);
+    let settings = &daemon.settings;
+    log::info!("{} listens on {}, control on {}", settings.vm, settings.listen, settings.control);
+    stop.cancelled().await;
+    let limit = settings.stop_limit;
+    let stopping = daemon.stop(front, &front_stop, control, &control_stop);
+    match limit {
+        None => stopping.await,
+        Some(limit) => {
+            if tokio::time::timeout(limit, stopping).await.is_err() {
+                log::warn!("the stop limit of {} ms passed with requests in flight", limit.as_millis());
+            }
+        }
+    }
+    log::info!("stopped");
+    Ok(())
+}
+
+fn bind(name: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, Error> {
+    listen::bind(address).map_err(|err| Error::Bind(name, address, err))
+}
+
+impl Daemon {
+    fn new(settings: Settings) -> Self {
+        let ports = Arc::new(Adapters::default());
+        let identity = Identity {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            caller: settings.listen,
+            control: settings.control,
+            // A VM keeps nothing, so only the wall clock orders its processes.
+            incarnation: clock::Boot.wall_millis(),
+        };
+        let peers = Peers::new(settings.vm.clone(), clock::Boot.now());
+        let tables = Arc::new(Tables::new(peers));
+        let seeds = settings.seeds.clone();
+        Self {
+            router: Arc::new(Router::new(tables.clone(), ports.clone())),
+            control: Arc::new(Control::new(identity, seeds, tables, ports)),
+            metrics: Arc::new(Metrics::default()),
+            budget: Budget::new(settings.max_buffered_bytes, Gauge::default()),
+            cancel: CancellationToken::new(),
+            settings,
+        }
+    }
+
+    fn spawn_tasks(&self, platform: Http) {
+        let (control, cancel) = (self.control.clone(), self.cancel.clone());
+        tokio::spawn(async move { control.run(&cancel).await });
+        let (router, cancel) = (self.router.clone(), self.cancel.clone());
+        tokio::spawn(async move { scouts::run(router, cancel).await });
+        let keys = &self.settings.keys;
+        self.spawn_watch(platform.clone(), Key::Config, keys.config.clone());
+        self.spawn_watch(platform, Key::Vms, keys.vms.clone());
+    }
+
+    fn spawn_watch(&self, fetch: Http, key: Key, name: String) {
+        let sink = Sink::new(self.control.clone());
+        let cancel = self.cancel.clone();
+        tokio::spawn(async move {
+            let (clock, random) = (&clock::Boot, &clock::Random);
+            let watch = Watch { fetch: &fetch, sink: &sink, clock, random };
+            platform::watch(watch, key, &name, &cancel).await;
+        });
+    }
+
+    fn spawn_front(&self, listener: TcpListener, stop: &CancellationToken) -> JoinHandle<()> {
+        let front = Arc::new(Front::new(
+            self.router.clone(),
+            self.budget.clone(),
+            self.settings.limits.body_timeout,
+            self.metrics.clone(),
+        ));
+        let limits = self.settings.limits;
+        tokio::spawn(listen::serve(listener, front, limits, Counters::default(), stop.clone()))
+    }
+
+    fn spawn_control(&self, listener: TcpListener, stop: &CancellationToken) -> JoinHandle<()> {
+        let service = Arc::new(Listener::new(
+            self.router.clone(),
+            self.control.clone(),
+            self.budget.clone(),
+            self.settings.limits.body_timeout,
+            self.metrics.clone(),
+        ));
+        let limits = self.settings.limits;
+        tokio::spawn(listen::serve(listener, service, limits, Counters::default(), stop.clone()))
+    }
+
+    /// The planned stop. Callers keep addresses for a while, so requests are still taken until the
+    /// last answer with this entry's address has expired.
+    async fn stop(
+        &self,
+        front: JoinHandle<()>,
+        front_stop: &CancellationToken,
+        control: JoinHandle<()>,
+        control_stop: &CancellationToken,
+    ) {
+        self.control.leave();
+        let wait = self.longest_ttl() + MARGIN;
+        log::info!("stopping: callers are sent elsewhere for {} ms", wait.as_millis());
+        tokio::time::sleep(wait).await;
+        front_stop.cancel();
+        ended("callers' listener", front).await;
+        self.router.tables().gate.close();
+        control_stop.cancel();
+        ended("control listener", control).await;
+        self.cancel.cancel();
+    }
+
+    fn longest_ttl(&self) -> Duration {
+        let routes = self.router.tables().routes();
+        let ttls = routes.iter().map(|(_, route)| route.settings().policy.address_ttl);
+        ttls.max().unwrap_or_default()
+    }
+}
+
+async fn ended(what: &str, task: JoinHandle<()>) {
+    if let Err(err) = task.await {
+        log::error!("the {what} failed: {err}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run/sink.rs
@@ -0,0 +1,41 @@
+use std::sync::Arc;
+
+use jackdawpin_core::control::Control;
+use jackdawpin_core::control::Kind;
+use jackdawpin_core::port::Ports;
+use jackdawpin_core::time::Instant;
+
+use crate::platform;
+use crate::platform::Error;
+use crate::platform::Key;
+
+/// Hands what the platform answers to the decisions.
+pub(super) struct Sink<O> {
+    control: Arc<Control<O>>,
+}
+
+impl<O: Ports> Sink<O> {
+    pub(super) fn new(control: Arc<Control<O>>) -> Self {
+        Self { control }
+    }
+}
+
+impl<O: Ports> platform::Sink for Sink<O> {
+    fn read(&self, key: Key, value: &[u8], asked: Instant) {
+        self.control.platform_read(kind(key), value, asked);
+    }
+
+    fn failed(&self, key: Key, error: &Error, asked: Instant) {
+        log::debug!("read of {key} from the platform failed: {error}");
+        if matches!(error, Error::Absent) {
+            self.control.platform_missing(kind(key), asked);
+        }
+    }
+}
+
+fn kind(key: Key) -> Kind {
+    match key {
+        Key::Config => Kind::Config,
+        Key::Vms => Kind::List,
+    }
+}
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -95,11 +95,11 @@
 struct Results(mpsc::UnboundedSender<String>);
 
 impl Sink for Results {
-    fn read(&self, key: Key, value: &[u8]) {
+    fn read(&self, key: Key, value: &[u8], _: Instant) {
         let _ = self.0.send(format!("{key} {}", String::from_utf8_lossy(value)));
     }
 
-    fn failed(&self, key: Key, error: &Error) {
+    fn failed(&self, key: Key, error: &Error, _: Instant) {
         let _ = self.0.send(format!("{key} failed: {error}"));
     }
 }
@@ -231,6 +231,10 @@
 struct Jump(Arc<AtomicU64>);
 
 impl Clock for Jump {
+    fn wall_millis(&self) -> u64 {
+        0
+    }
+
     fn now(&self) -> Instant {
         Instant::from_nanos(self.0.load(SeqCst))
     }
--- a/crates/document/src/config/mod.rs
+++ b/crates/document/src/config/mod.rs
@@ -28,6 +28,15 @@
     log.finish(config)
 }
 
+/// The revision that a document claims to have, even if it is not valid; `None` if it has none.
+pub fn revision(text: &str) -> Option<u64> {
+    #[derive(serde::Deserialize)]
+    struct Head {
+        revision: u64,
+    }
+    toml::from_str::<Head>(text).ok().map(|head| head.revision)
+}
+
 /// Parses the text. Returns no tree if there is any fault: the values around broken syntax are guesses, and faults
 /// found in them would mislead.
 fn parse<'t>(text: &'t str, log: &mut Log<'_>) -> Option<Spanned<DeTable<'t>>> {
--- a/crates/document/src/vms/mod.rs
+++ b/crates/document/src/vms/mod.rs
@@ -32,14 +32,23 @@
     log.finish(list)
 }
 
+/// The version that a list claims to have, even if it is not valid; `None` if it has none.
+pub fn version(text: &str) -> Option<u64> {
+    #[derive(serde::Deserialize)]
+    struct Head {
+        version: u64,
+    }
+    serde_json::from_str::<Head>(text).ok().map(|head| head.version)
+}
+
 fn list(root: &Item<'_>, log: &mut Log<'_>) -> Option<List> {
     let root = root.object(log)?;
-    let version = version(&root, log);
+    let version = checked_version(&root, log);
     let vms = vms(&root, log);
     List::new(version?, vms?).ok()
 }
 
-fn version(root: &Object<'_>, log: &mut Log<'_>) -> Option<u64> {
+fn checked_version(root: &Object<'_>, log: &mut Log<'_>) -> Option<u64> {
     let item = root.require("version", log)?;
     let version = item.number(log)?;
     if version == 0 {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -67,6 +67,8 @@
     pub claimant: String,
     /// The claimant's incarnation.
     pub incarnation: u64,
+    /// Number of the message; grows with each round of one incarnation.
+    pub round: u64,
     /// The claimant's clock.
     pub clock: Stamp,
     /// The servers claimed.
