Add logs and the planned stop on a signal

Log lines go through a bounded queue to a writer thread. fern's own output to stderr writes on the caller's thread, so that a stuck reader would hold up requests, and it panics when stderr is closed. A full queue drops lines and logs their number.

The end now waits for a count of written lines, at most 1 s.

chrono, which volo-http already brings, formats the time.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod clock;
 pub mod listen;
+pub mod logs;
 pub mod platform;
 pub mod settings;
+pub mod stop;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/daemon/src/logs/line.rs
@@ -0,0 +1,85 @@
+//! Encodes log lines.
+
+use std::fmt;
+use std::fmt::Write;
+use std::time::SystemTime;
+
+use chrono::DateTime;
+use chrono::SecondsFormat;
+use chrono::Utc;
+use jackdawpin_core::name;
+use log::Record;
+use serde::Serialize;
+
+use crate::settings::Format;
+
+/// One message with its circumstances.
+#[derive(Debug, Clone, Copy)]
+pub struct Line<'a> {
+    /// When it was logged.
+    pub time: SystemTime,
+    /// The VM that logged it.
+    pub vm: &'a name::Vm,
+    /// Level, target and message.
+    pub record: &'a Record<'a>,
+}
+
+/// The fields of a line in JSON.
+#[derive(Serialize)]
+struct Fields<'a> {
+    time: &'a str,
+    level: &'a str,
+    target: &'a str,
+    vm: &'a str,
+    message: &'a str,
+}
+
+impl Line<'_> {
+    /// The line in `format`, with the line break.
+    pub fn encode(&self, format: Format) -> String {
+        let time = DateTime::<Utc>::from(self.time).to_rfc3339_opts(SecondsFormat::Millis, true);
+        let mut line = match format {
+            Format::Text => self.text(&time),
+            Format::Json => self.json(&time),
+        };
+        line.push('\n');
+        line
+    }
+
+    fn text(&self, time: &str) -> String {
+        let Self { vm, record, .. } = self;
+        let mut line = format!("{time} {:<5} {} {vm}: ", record.level(), record.target());
+        // Writing to a String does not fail.
+        let _ = write!(Escape(&mut line), "{}", record.args());
+        line
+    }
+
+    fn json(&self, time: &str) -> String {
+        let message = self.record.args().to_string();
+        let fields = Fields {
+            time,
+            level: self.record.level().as_str(),
+            target: self.record.target(),
+            vm: self.vm.as_str(),
+            message: &message,
+        };
+        // Strings under string keys always have an encoding.
+        serde_json::to_string(&fields).unwrap_or_default()
+    }
+}
+
+/// Escapes control characters, so that a message with text from outside cannot look like two lines.
+struct Escape<'a>(&'a mut String);
+
+impl fmt::Write for Escape<'_> {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        for c in text.chars() {
+            if c.is_control() {
+                self.0.extend(c.escape_default());
+            } else {
+                self.0.push(c);
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/logs/mod.rs
@@ -0,0 +1,70 @@
+//! Log lines on stderr.
+//!
+//! Messages come through the `log` crate; fern filters them by level, and [`line`] encodes them as
+//! text or JSON. A [`Writer`] thread writes the lines. A reader of stderr that is slow or gone must
+//! not hold up requests, so lines go to the thread through a bounded queue: when it is full, lines
+//! are dropped and their number is logged.
+
+mod line;
+mod writer;
+
+use std::io;
+use std::time::SystemTime;
+
+use fern::Dispatch;
+use fern::Output;
+use jackdawpin_core::name;
+use log::Level;
+use log::Record;
+use quick_error::quick_error;
+
+use crate::settings::Log;
+
+pub use line::Line;
+pub use writer::Writer;
+
+quick_error! {
+    /// Why the log could not be started.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The writer thread could not be started.
+        Thread(error: io::Error) {
+            display("cannot start the log writer: {}", error)
+            source(error)
+            from()
+        }
+        /// The log was started before.
+        Started(error: log::SetLoggerError) {
+            display("cannot set the logger: {}", error)
+            source(error)
+            from()
+        }
+    }
+}
+
+/// Starts the log. The lines queued are written when the result is dropped, so it must live as long
+/// as the program.
+///
+/// # Errors
+///
+/// The log was started before, or the writer thread could not be started.
+pub fn start(log: Log, vm: &name::Vm) -> Result<Writer, Error> {
+    let noted = vm.clone();
+    let note = move |lines| {
+        let mut record = Record::builder();
+        record.level(Level::Warn).target(module_path!());
+        let message = format_args!("{lines} log lines were dropped: stderr is read too slowly");
+        let record = record.args(message).build();
+        Line { time: SystemTime::now(), vm: &noted, record: &record }.encode(log.format)
+    };
+    let writer = Writer::start(io::stderr(), note)?;
+    let queue = writer.queue();
+    let vm = vm.clone();
+    // fern's own output to stderr panics when stderr is closed, hence the function.
+    let output = Output::call(move |record| {
+        let time = SystemTime::now();
+        queue.push(Line { time, vm: &vm, record }.encode(log.format));
+    });
+    Dispatch::new().level(log.level).chain(output).apply()?;
+    Ok(writer)
+}
