--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod listen;
 pub mod logs;
+pub mod metrics;
 pub mod platform;
 pub mod settings;
 pub mod stop;
--- a/crates/daemon/src/listen/mod.rs
+++ b/crates/daemon/src/listen/mod.rs
@@ -19,10 +19,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-pub use accept::bind;
-pub use accept::serve;
-pub use body::Budget;
-pub use counters::Counters;
+pub use self::accept::bind;
+pub use self::accept::serve;
+pub use self::body::Budget;
+pub use self::counters::Counters;
 
 /// Limits of a listener and its connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -20,8 +20,8 @@
 
 use crate::settings::Log;
 
-pub use line::Line;
-pub use writer::Writer;
+pub use self::line::Line;
+pub use self::writer::Writer;
 
 quick_error! {
     /// Why the log could not be started.
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -14,15 +14,15 @@
 
 use std::fmt;
 
-pub use answer::Answer;
-pub use answer::MAX_VALUE_BYTES;
-pub use backoff::Backoff;
-pub use error::Error;
-pub use fetch::Fetch;
-pub use http::Http;
-pub use http::WAIT;
-pub use watch::Watch;
-pub use watch::watch;
+pub use self::answer::Answer;
+pub use self::answer::MAX_VALUE_BYTES;
+pub use self::backoff::Backoff;
+pub use self::error::Error;
+pub use self::fetch::Fetch;
+pub use self::http::Http;
+pub use self::http::WAIT;
+pub use self::watch::Watch;
+pub use self::watch::watch;
 
 /// The documents that the platform publishes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -21,11 +21,11 @@
 
 use crate::listen::Limits;
 
-pub use help::Help;
-pub use problem::Problem;
-pub use problem::Problems;
-pub use raw::Raw;
-pub use rule::Rule;
+pub use self::help::Help;
+pub use self::problem::Problem;
+pub use self::problem::Problems;
+pub use self::raw::Raw;
+pub use self::rule::Rule;
 
 /// Exit code when the settings are not valid.
 pub const EXIT_INVALID: u8 = 2;
