--- a/crates/core/src/flow/scout.rs
+++ b/crates/core/src/flow/scout.rs
@@ -56,8 +56,7 @@
     }
 
     async fn ask(&self, holder: &Lead, pool: &Pool, deadline: Instant) -> u32 {
-        let free =
-            self.ports.peer().vacancy(holder.address, pool.service(), deadline).await;
+        let free = self.ports.peer().vacancy(holder.address, pool.service(), deadline).await;
         for _ in 0..free {
             if !pool.lead(holder) {
                 break;
--- a/crates/core/src/lock/mod.rs
+++ b/crates/core/src/lock/mod.rs
@@ -27,6 +27,8 @@
     Journal = 6,
     /// Unused connections of an adapter.
     Connections = 7,
+    /// Latencies and metrics of an adapter.
+    Telemetry = 8,
 }
 
 thread_local! {
--- a/crates/daemon/src/control/admin.rs
+++ b/crates/daemon/src/control/admin.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use http::Uri;
 use jackdawpin_core::config::Origin;
 use jackdawpin_core::event::Record;
@@ -66,9 +68,8 @@
         let settings = settings.ok_or(Error::Missing("the service"))?;
         let out = config.out_reason(&service, &listed.name, &listed.domain);
         let now = self.router.clock().now();
-        let holder = rank::holder(&intent.list, listed, |vm| {
-            self.router.tables().peers.available(vm, now)
-        });
+        let holder =
+            rank::holder(&intent.list, listed, |vm| self.router.tables().peers.available(vm, now));
         Ok(wire::Explanation {
             service: service.clone(),
             server: server.clone(),
@@ -116,23 +117,21 @@
     fn services(&self, now: Instant) -> Vec<wire::Service> {
         let tables = self.router.tables();
         let routes = tables.routes();
-        let mut services: Vec<_> = routes
-            .iter()
-            .map(|(name, route)| self.service(now, name, route))
-            .collect();
+        let mut services: Vec<_> =
+            routes.iter().map(|(name, route)| self.service(now, name, route)).collect();
         services.sort_unstable_by(|a, b| a.name.cmp(&b.name));
         services
     }
 
     fn service(&self, now: Instant, name: &name::Service, route: &Route) -> wire::Service {
-        let (p50_us, p99_us) = self.metrics.latency(name.as_str());
+        let (p50, p99) = self.telemetry.latency(name.as_str());
         let views = route.pool().views(now);
         wire::Service {
             name: name.to_string(),
             waiting: u32::try_from(route.pool().waiting()).unwrap_or(u32::MAX),
             totals: totals(&self.router.tables().ledger.totals(name.as_str())),
-            p50_us,
-            p99_us,
+            p50_us: micros(p50),
+            p99_us: micros(p99),
             servers: views.iter().map(|view| self.server(name, view)).collect(),
         }
     }
@@ -148,7 +147,7 @@
             why,
             limit: view.limit,
             in_flight: view.in_flight,
-            latency_us: u64::try_from(view.latency.as_micros()).unwrap_or(u64::MAX),
+            latency_us: micros(view.latency),
             probes: self.control.probes_sent(&target),
         }
     }
@@ -174,10 +173,9 @@
     let origin = match setting.origin {
         Origin::Default => wire::Origin::Default,
         Origin::Service => wire::Origin::Service,
-        Origin::Exception(scope, reason) => wire::Origin::Exception {
-            scope: scope.to_string(),
-            reason: reason.as_str().to_owned(),
-        },
+        Origin::Exception(scope, reason) => {
+            wire::Origin::Exception { scope: scope.to_string(), reason: reason.as_str().to_owned() }
+        }
     };
     wire::Setting { field: setting.field.to_owned(), value: setting.value.clone(), origin }
 }
@@ -204,6 +202,10 @@
     }
 }
 
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn age(now: Instant, at: Instant) -> u64 {
     u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -28,13 +28,13 @@
 use crate::listen::Budget;
 use crate::listen::Context;
 use crate::listen::body;
-use crate::metrics::Metrics;
+use crate::metrics;
+use crate::telemetry::Telemetry;
 
 /// Largest message that is read: the largest body and its envelope.
 const MAX_BODY: usize = (64 << 20) + wire::MAX_ENVELOPE;
 
 const TEXT: &str = "text/plain; charset=utf-8";
-const METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 quick_error! {
     /// Why a message of a peer or an operator is not served.
@@ -92,7 +92,7 @@
     control: Arc<Control<O>>,
     budget: Budget,
     body_timeout: Duration,
-    metrics: Arc<Metrics>,
+    telemetry: Arc<Telemetry>,
 }
 
 impl<O: Ports> Listener<O> {
@@ -103,9 +103,9 @@
         control: Arc<Control<O>>,
         budget: Budget,
         body_timeout: Duration,
-        metrics: Arc<Metrics>,
+        telemetry: Arc<Telemetry>,
     ) -> Self {
-        Self { router, control, budget, body_timeout, metrics }
+        Self { router, control, budget, body_timeout, telemetry }
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Error> {
@@ -149,16 +149,16 @@
     }
 
     fn metrics(&self) -> Response<Full<Bytes>> {
-        let tables = self.router.tables();
         let now = self.router.clock().now();
-        for (service, route) in tables.routes().iter() {
-            let room = route.pool().room(now);
-            self.metrics.pool(service.as_str(), room, route.pool().waiting());
-            self.metrics.totals(service.as_str(), &tables.ledger.totals(service.as_str()));
+        match self.telemetry.text(self.router.tables(), now) {
+            Ok(exposition) => {
+                let mut response = Response::new(Full::new(Bytes::from(exposition)));
+                let kind = HeaderValue::from_static(metrics::CONTENT_TYPE);
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                response
+            }
+            Err(err) => text(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()),
         }
-        let mut response = text(StatusCode::OK, &self.metrics.render());
-        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(METRICS));
-        response
     }
 }
 
--- a/crates/daemon/src/front/call.rs
+++ b/crates/daemon/src/front/call.rs
@@ -63,12 +63,12 @@
         submission.id = Some(id.clone());
         let service = submission.service.clone();
         let served = self.router.serve(submission).await;
-        self.metrics.served(&service, &served, start.elapsed());
+        self.telemetry.served(self.router.tables(), &service, &served, start.elapsed());
         response::outcome(&id, served.outcome)
     }
 
     fn turn_away(&self, submission: &Submission, refusal: Refusal) -> Response<Full<Bytes>> {
-        self.metrics.refused(&submission.service, refusal);
+        self.telemetry.refused(self.router.tables(), &submission.service, refusal);
         response::refused(refusal, response::explain(refusal))
     }
 }
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -24,8 +24,8 @@
 
 use crate::listen::Budget;
 use crate::listen::Context;
-use crate::metrics::Metrics;
 use crate::query;
+use crate::telemetry::Telemetry;
 
 /// Path that tells callers which addresses to use; query `service`.
 pub const ADDRESSES: &str = "/v1/addresses";
@@ -39,7 +39,7 @@
     router: Arc<Router<O>>,
     budget: Budget,
     body_timeout: Duration,
-    metrics: Arc<Metrics>,
+    telemetry: Arc<Telemetry>,
 }
 
 impl<O: Ports> Front<O> {
@@ -49,9 +49,9 @@
         router: Arc<Router<O>>,
         budget: Budget,
         body_timeout: Duration,
-        metrics: Arc<Metrics>,
+        telemetry: Arc<Telemetry>,
     ) -> Self {
-        Self { router, budget, body_timeout, metrics }
+        Self { router, budget, body_timeout, telemetry }
     }
 
     fn addresses(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod run;
 pub mod settings;
 pub mod stop;
+pub mod telemetry;
 pub mod upstream;
 
 pub use self::run::run;
--- a/crates/daemon/src/peer/forward.rs
+++ b/crates/daemon/src/peer/forward.rs
@@ -1,3 +1,5 @@
+//! Encodes forwarded attempts and reads what became of them.
+
 use std::time::Duration;
 
 use bytes::Bytes;
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -138,12 +138,7 @@
 }
 
 impl<C: Clock> port::Peer for Peer<C> {
-    async fn forward(
-        &self,
-        vm: &name::Vm,
-        address: SocketAddr,
-        attempt: Attempt<'_>,
-    ) -> Forwarded {
+    async fn forward(&self, vm: &name::Vm, address: SocketAddr, attempt: Attempt<'_>) -> Forwarded {
         let left = attempt.deadline.since(self.clock.now());
         let evidence = |evidence| Forwarded { evidence, free: None };
         let Ok(body) = forward::encode(&attempt, left) else {
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -14,7 +14,6 @@
 use jackdawpin_core::flow::Tables;
 use jackdawpin_core::member::Peers;
 use jackdawpin_core::port::Clock;
-use prometheus_client::metrics::gauge::Gauge;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -25,15 +24,14 @@
 use crate::front::Front;
 use crate::listen;
 use crate::listen::Budget;
-use crate::listen::Counters;
 use crate::logs;
-use crate::metrics::Metrics;
 use crate::platform;
 use crate::platform::Http;
 use crate::platform::Key;
 use crate::platform::Watch;
 use crate::settings::Settings;
 use crate::stop::Signals;
+use crate::telemetry::Telemetry;
 
 use self::error::Error;
 use self::sink::Sink;
@@ -47,7 +45,7 @@
     settings: Settings,
     router: Arc<Router<Adapters>>,
     control: Arc<Control<Adapters>>,
-    metrics: Arc<Metrics>,
+    telemetry: Arc<Telemetry>,
     budget: Budget,
     /// Ends the tasks that serve no request.
     cancel: CancellationToken,
@@ -103,7 +101,10 @@
         None => stopping.await,
         Some(limit) => {
             if tokio::time::timeout(limit, stopping).await.is_err() {
-                log::warn!("the stop limit of {} ms passed with requests in flight", limit.as_millis());
+                log::warn!(
+                    "the stop limit of {} ms passed with requests in flight",
+                    limit.as_millis()
+                );
             }
         }
     }
@@ -129,12 +130,15 @@
         };
         let peers = Peers::new(settings.vm.clone(), clock::Boot.now());
         let tables = Arc::new(Tables::new(peers));
+        let telemetry = Arc::new(Telemetry::default());
+        let buffered = telemetry.metrics().entry.buffered.clone();
+        let budget = Budget::new(settings.max_buffered_bytes, buffered);
         let seeds = settings.seeds.clone();
         Self {
             router: Arc::new(Router::new(tables.clone(), ports.clone())),
             control: Arc::new(Control::new(identity, seeds, tables, ports)),
-            metrics: Arc::new(Metrics::default()),
-            budget: Budget::new(settings.max_buffered_bytes, Gauge::default()),
+            telemetry,
+            budget,
             cancel: CancellationToken::new(),
             settings,
         }
@@ -165,10 +169,11 @@
             self.router.clone(),
             self.budget.clone(),
             self.settings.limits.body_timeout,
-            self.metrics.clone(),
+            self.telemetry.clone(),
         ));
         let limits = self.settings.limits;
-        tokio::spawn(listen::serve(listener, front, limits, Counters::default(), stop.clone()))
+        let counters = self.telemetry.metrics().callers.clone();
+        tokio::spawn(listen::serve(listener, front, limits, counters, stop.clone()))
     }
 
     fn spawn_control(&self, listener: TcpListener, stop: &CancellationToken) -> JoinHandle<()> {
@@ -177,10 +182,11 @@
             self.control.clone(),
             self.budget.clone(),
             self.settings.limits.body_timeout,
-            self.metrics.clone(),
+            self.telemetry.clone(),
         ));
         let limits = self.settings.limits;
-        tokio::spawn(listen::serve(listener, service, limits, Counters::default(), stop.clone()))
+        let counters = self.telemetry.metrics().control.clone();
+        tokio::spawn(listen::serve(listener, service, limits, counters, stop.clone()))
     }
 
     /// The planned stop. Callers keep addresses for a while, so requests are still taken until the
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -121,7 +121,7 @@
     if !echoed(attempt, map) {
         return Reply { evidence: Evidence::MayHaveRun(Doubt::BadAnswer), report: None };
     }
-    let report = map.get(headers::LOAD_REPORT).and_then(|value| report::parse_header(value));
+    let report = map.get(headers::LOAD_REPORT).and_then(report::parse_header);
     if response.status() == StatusCode::SERVICE_UNAVAILABLE && map.contains_key(headers::NOT_RUN) {
         return Reply { evidence: Evidence::NotRun(NotRun::Shed), report };
     }
