core: lease cold servers by promises of a quorum of witnesses

A server that has just started must get requests from one entry only, without shared state. lease::Promises is the witness, lease::Claims the holder, and lease::Table joins the two sides of one entry, so that its own promise follows the same rules as any other.

Each message carries the number of its round.

A promise beyond the cap of the table is refused. Evicting an older one was ruled out: it could give a server to two entries.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod config;
 pub mod event;
+pub mod lease;
 pub mod lock;
 pub mod member;
 pub mod name;
