Add the fence and readiness

An entry knows the intent for 5 s after a read of the platform or after more than half of the other live entries were heard. The gate keeps the end of that time in an atomic, so each dispatch checks it without a lock, and a pause fences before any timer runs. A flag set by a timer was ruled out: it is stale for as long as the timer takes to run after a pause.

A read that the platform answered with a document older than the one in force does not count while there are other entries, because the platform may lack later documents as well. It counts for an entry that is alone on the list, which would otherwise stop until the operators publish again.

An entry that comes back into contact, or starts, waits up to 2 s for newer documents that its peers announce. Without the wait, an entry that wakes up would send on its old intent between the first heartbeats and the fetch. The wait is bounded, because a document that cannot be fetched must not keep entries out of service.

A pending read of the platform proves nothing, so reads may wait 30 s for a change only while the peers are heard, and 1 s otherwise.

Tests: tables of cases; 256 random histories with pauses, lost peers and old data, in which the rule is evaluated from the times of all peers.

--- a/crates/core/src/intent/mod.rs
+++ b/crates/core/src/intent/mod.rs
@@ -8,10 +8,19 @@
 //! with lower numbers has no effect until its numbers pass those in force; the operators see this
 //! as a stale document.
 
+mod fence;
+mod gate;
 mod order;
 mod slot;
 mod table;
 
+pub use self::fence::CATCH_UP;
+pub use self::fence::Evidence;
+pub use self::fence::FENCE_AFTER;
+pub use self::fence::JOIN_WAIT;
+pub use self::fence::LONG_WAIT;
+pub use self::fence::SHORT_WAIT;
+pub use self::gate::Gate;
 pub use self::order::Decision;
 pub use self::order::Order;
 pub use self::order::Source;
--- /dev/null
+++ b/crates/core/tests/fence.rs
@@ -0,0 +1,296 @@
+//! Fence and readiness: when an entry may take new work.
+
+mod intent_support;
+
+use std::time::Duration;
+
+use jackdawpin_core::event::Event;
+use jackdawpin_core::event::Stamp;
+use jackdawpin_core::intent::Evidence;
+use jackdawpin_core::intent::Gate;
+use jackdawpin_core::intent::LONG_WAIT;
+use jackdawpin_core::intent::Order;
+use jackdawpin_core::intent::Platform;
+use jackdawpin_core::intent::SHORT_WAIT;
+use jackdawpin_core::intent::Source;
+use jackdawpin_core::intent::Table;
+use jackdawpin_core::member::Contact;
+use jackdawpin_core::member::Heartbeat;
+use jackdawpin_core::member::Origin;
+use jackdawpin_core::member::Peers;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::intent_support::Events;
+use crate::intent_support::at;
+use crate::intent_support::config;
+use crate::intent_support::fixed;
+use crate::intent_support::list;
+use crate::intent_support::vm;
+
+/// Evidence with documents, the platform answered and current at the given times, and most of three
+/// peers heard.
+fn evidence(answered: Option<u64>, current: Option<u64>, heard: Option<u64>) -> Evidence {
+    let platform = Platform { answered: answered.map(at), current: current.map(at) };
+    let met = if heard.is_some() { 2 } else { 1 };
+    let contact = Contact { others: 3, met, untried: 0, most_heard: heard.map(at) };
+    Evidence { platform, contact, documents: true, behind: false }
+}
+
+fn alone(answered: Option<u64>, current: Option<u64>) -> Evidence {
+    Evidence { contact: Contact::default(), ..evidence(answered, current, None) }
+}
+
+/// Guards against an entry that sends into a failure domain taken out of service because it cannot
+/// know the intent, and against a fence that a platform outage alone, or old data on the platform
+/// of a single entry, brings about.
+#[rstest]
+#[case::nothing(evidence(None, None, None), None)]
+#[case::platform_and_peers(evidence(Some(20), Some(20), Some(30)), Some(30))]
+#[case::platform_outage(evidence(Some(20), Some(20), Some(90)), Some(90))]
+#[case::peers_lost(evidence(Some(90), Some(90), Some(20)), Some(90))]
+#[case::never_heard_peers(evidence(Some(90), Some(90), None), Some(90))]
+#[case::old_data_and_peers_lost(evidence(Some(90), Some(10), Some(20)), Some(20))]
+#[case::old_data_with_peers(evidence(Some(90), Some(10), Some(80)), Some(80))]
+#[case::alone(alone(Some(90), Some(90)), Some(90))]
+#[case::alone_with_old_data(alone(Some(90), Some(10)), Some(90))]
+#[case::alone_without_platform(alone(None, None), None)]
+fn known_until(#[case] evidence: Evidence, #[case] last: Option<u64>) {
+    assert_eq!(evidence.known_until(), last.map(|last| at(last + 5_000)));
+    let gate = Gate::new(at(0));
+    gate.update(at(100), &evidence, &Events::default());
+    assert_eq!(gate.fenced(at(100)), last.is_none());
+    assert_eq!(gate.fenced(at(last.unwrap_or(0) + 5_000)), last.is_none());
+    assert!(gate.fenced(at(last.unwrap_or(0) + 5_001)));
+}
+
+/// Guards against a start that serves on an intent that peers would correct, and one that never
+/// ends because a listed entry does not exist.
+#[rstest]
+#[case::most_met(4, 3, 2, 0, true)]
+#[case::half_met(4, 2, 2, 2_999, false)]
+#[case::waited(4, 0, 0, 3_000, true)]
+#[case::waited_but_not_tried(4, 0, 1, 60_000, false)]
+#[case::no_others(0, 0, 0, 0, true)]
+fn joined(
+    #[case] others: usize,
+    #[case] met: usize,
+    #[case] untried: usize,
+    #[case] now: u64,
+    #[case] expected: bool,
+) {
+    let most_heard = (2 * met > others).then(|| at(0));
+    let contact = Contact { others, met, untried, most_heard };
+    let evidence = Evidence { contact, ..evidence(None, None, None) };
+    assert_eq!(evidence.joined(at(now), at(0)), expected);
+    for (documents, expected) in [(false, false), (true, expected)] {
+        let (gate, events) = (Gate::new(at(0)), Events::default());
+        for _ in 0..2 {
+            gate.update(at(now), &Evidence { documents, ..evidence }, &events);
+        }
+        assert_eq!(gate.ready(), expected);
+        let ready = events.take().into_iter().filter(|event| *event == Event::Ready).count();
+        assert_eq!(ready, usize::from(expected), "reported once");
+    }
+}
+
+/// Guards against a pending read of 30 s that fences an entry which has only the platform.
+#[rstest]
+#[case::peers_heard(evidence(None, None, Some(7_000)), LONG_WAIT)]
+#[case::peers_lost(evidence(None, None, Some(6_999)), SHORT_WAIT)]
+#[case::alone(alone(Some(9_999), None), SHORT_WAIT)]
+fn read_wait(#[case] evidence: Evidence, #[case] expected: Duration) {
+    assert_eq!(evidence.read_wait(at(10_000)), expected);
+}
+
+/// Guards against a woken entry that serves before it heard again, or on an intent that its peers
+/// know to be old, and against one that a document it cannot fetch keeps out of service.
+#[test]
+fn pause() {
+    let (gate, events) = (Gate::new(at(0)), Events::default());
+    let behind = |heard: u64| Evidence { behind: true, ..evidence(None, None, Some(heard)) };
+    gate.update(at(1_000), &evidence(None, None, Some(1_000)), &events);
+    gate.update(at(2_000), &behind(2_000), &events);
+    assert!(!gate.fenced(at(2_000)), "a change of a document does not fence");
+    assert_eq!(events.take(), [Event::Ready]);
+    // The process sleeps until 62 s.
+    assert!(gate.fenced(at(62_000)), "before any timer runs");
+    gate.update(at(62_000), &behind(2_000), &events);
+    assert_eq!(events.take(), [Event::Fenced]);
+    gate.update(at(62_100), &behind(62_050), &events);
+    assert!(gate.fenced(at(62_100)), "heard, but behind");
+    gate.update(at(62_200), &evidence(None, None, Some(62_150)), &events);
+    assert!(!gate.fenced(at(62_200)));
+    assert_eq!(events.take(), [Event::Unfenced]);
+    // Another pause; the documents cannot be fetched.
+    gate.update(at(100_000), &behind(99_990), &events);
+    gate.update(at(101_999), &behind(101_990), &events);
+    assert!(gate.fenced(at(101_999)));
+    gate.update(at(102_000), &behind(101_990), &events);
+    assert!(!gate.fenced(at(102_000)));
+    assert_eq!(events.take(), [Event::Fenced, Event::Unfenced]);
+    // A pause that ends with fresh evidence at the first update shows on the time line.
+    gate.update(at(200_000), &evidence(None, None, Some(199_990)), &events);
+    assert_eq!(events.take(), [Event::Fenced, Event::Unfenced]);
+}
+
+/// Guards against an entry that becomes ready on an intent that its peers know to be old.
+#[test]
+fn ready_after_catching_up() {
+    let (gate, events) = (Gate::new(at(0)), Events::default());
+    let behind = |heard: u64| Evidence { behind: true, ..evidence(None, None, Some(heard)) };
+    gate.update(at(100), &evidence(Some(90), Some(90), None), &events);
+    assert!(!gate.fenced(at(100)) && !gate.ready());
+    gate.update(at(200), &behind(190), &events);
+    assert!(!gate.ready());
+    gate.update(at(300), &evidence(Some(90), Some(90), Some(290)), &events);
+    assert!(gate.ready());
+    assert_eq!(events.take(), [Event::Ready]);
+}
+
+/// Guards against a fence on each start in the time line, and one that is never shown for an entry
+/// that hears nobody.
+#[test]
+fn start() {
+    let (gate, events) = (Gate::new(at(0)), Events::default());
+    for second in 0..=5 {
+        gate.update(at(second * 1000), &evidence(None, None, None), &events);
+    }
+    assert_eq!(events.take(), [Event::Ready]);
+    gate.update(at(5_001), &evidence(None, None, None), &events);
+    gate.update(at(6_000), &evidence(None, None, None), &events);
+    assert_eq!(events.take(), [Event::Fenced]);
+    gate.update(at(7_000), &evidence(None, None, Some(6_990)), &events);
+    assert_eq!(events.take(), [Event::Unfenced]);
+}
+
+/// What happens to an entry.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Time passes.
+    Wait(u64),
+    /// A peer answers.
+    Hear(usize),
+    /// The platform answers, with a document that is current or older than the one in force.
+    Read(bool),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        3 => (1u64..2_500).prop_map(Step::Wait),
+        1 => (4_000u64..70_000).prop_map(Step::Wait),
+        6 => (0usize..5).prop_map(Step::Hear),
+        2 => any::<bool>().prop_map(Step::Read),
+    ];
+    prop::collection::vec(step, 1..80)
+}
+
+proptest! {
+    #![proptest_config(fixed(256))]
+
+    /// Guards against a fence that differs from its rule through any sequence of pauses, lost peers
+    /// and old data, and against events that are missing or repeated. The rule is evaluated here
+    /// from the times of all peers.
+    #[test]
+    fn follows_rule(others in 0usize..6, steps in steps()) {
+        let (events, gate) = (Events::default(), Gate::new(at(0)));
+        let names = ["p0", "p1", "p2", "p3", "p4"];
+        let listed: Vec<&str> = names.into_iter().take(others).chain(["own"]).collect();
+        let peers = Peers::new(vm("own"), at(0));
+        peers.listed(at(0), &list(1, &listed));
+        let (mut now, mut heard) = (10_000, [None; 5]);
+        let (mut answered, mut current) = (None, None);
+        let mut was_fenced = true;
+        for (clock, step) in (1u64..).zip(steps) {
+            match step {
+                Step::Wait(millis) => now += millis,
+                Step::Hear(index) => {
+                    let beat = heartbeat(clock, None);
+                    let origin = Origin::Answer { asked: at(now) };
+                    peers.heard(at(now), &vm(names[index]), beat, origin, &Events::default());
+                    heard[index] = Some(now);
+                }
+                Step::Read(is_current) => {
+                    answered = Some(now);
+                    current = if is_current { answered } else { current };
+                }
+            }
+            let recent = |time: &Option<u64>| time.is_some_and(|time| now - time <= 5_000);
+            let read = if others == 0 { answered } else { current };
+            let count = heard.iter().take(others).filter(|time| recent(time)).count();
+            let fenced = !recent(&read) && 2 * count <= others;
+            let lapsed = gate.fenced(at(now));
+            prop_assert_eq!(lapsed, was_fenced || fenced, "the fence falls without a timer");
+            let contact = peers.contact();
+            let platform = Platform { answered: answered.map(at), current: current.map(at) };
+            let evidence = Evidence { platform, contact, documents: false, behind: false };
+            gate.update(at(now), &evidence, &events);
+            prop_assert_eq!(gate.fenced(at(now)), fenced);
+            let mut expected = Vec::new();
+            if lapsed && !was_fenced {
+                expected.push(Event::Fenced);
+            }
+            if lapsed && !fenced {
+                expected.push(Event::Unfenced);
+            }
+            // The first step is later than the grace of the start, so its fence is reported.
+            if clock == 1 {
+                expected.insert(0, Event::Fenced);
+            }
+            prop_assert_eq!(events.take(), expected);
+            was_fenced = fenced;
+        }
+    }
+}
+
+fn heartbeat(clock: u64, config: Option<Order>) -> Heartbeat {
+    Heartbeat {
+        incarnation: 1,
+        clock: Stamp { millis: clock, counter: 0 },
+        ready: true,
+        leaving: false,
+        config,
+        list: None,
+        capacity: Vec::new(),
+    }
+}
+
+/// Guards against evidence that misses a part: documents in force, reads, and what peers have.
+#[test]
+fn gather() {
+    let (table, peers, events) = (Table::new(), Peers::new(vm("e1"), at(0)), Events::default());
+    let list = list(1, &["e1", "e2"]);
+    peers.listed(at(0), &list);
+    assert_eq!(Evidence::gather(at(0), &table, &peers).contact.untried, 1);
+    let (order, source) = (Order { number: 1, digest: 1 }, Source::Platform { asked: at(10) });
+    table.offer_config(at(20), order, Ok(config(1)), b"", source, &events);
+    assert!(!Evidence::gather(at(20), &table, &peers).documents);
+    table.offer_list(at(20), order, Ok(list), b"", source, &events);
+    let newer = Order { number: 2, digest: 1 };
+    let beat = heartbeat(1, Some(newer));
+    peers.heard(at(30), &vm("e2"), beat, Origin::Question, &events);
+    let evidence = Evidence::gather(at(40), &table, &peers);
+    assert!(evidence.documents && evidence.behind);
+    assert_eq!(evidence.platform, Platform { answered: Some(at(10)), current: Some(at(10)) });
+    assert_eq!(evidence.contact.most_heard, Some(at(30)));
+    let (refused, peer) = (Err("bad".to_owned()), vm("e2"));
+    table.offer_config(at(50), newer, refused, b"", Source::Peer(&peer), &events);
+    assert!(!Evidence::gather(at(50), &table, &peers).behind, "a refused document is not missing");
+}
+
+/// Guards against a fence that still trusts a majority of the entries that a previous VM list had.
+#[test]
+fn longer_list() {
+    let (gate, peers, events) = (Gate::new(at(0)), Peers::new(vm("e1"), at(0)), Events::default());
+    let update = || {
+        let evidence = Evidence { contact: peers.contact(), ..Evidence::default() };
+        gate.update(at(100), &evidence, &events);
+        gate.fenced(at(100))
+    };
+    peers.listed(at(0), &list(1, &["e1", "e2"]));
+    peers.heard(at(100), &vm("e2"), heartbeat(1, None), Origin::Question, &events);
+    assert!(!update());
+    peers.listed(at(100), &list(2, &["e1", "e2", "e3", "e4"]));
+    assert!(update());
+    assert_eq!(events.take(), [Event::Fenced]);
+}
