Pace the fetches of documents from peers

All peers announce a new document within a second. Without a limit an entry would fetch a document of up to 1 MB from each of them, far above its 29 KB/s of control traffic. One fetch of a kind runs at a time, and after a failure the next peer is asked.

--- a/crates/core/src/intent/mod.rs
+++ b/crates/core/src/intent/mod.rs
@@ -9,6 +9,7 @@
 //! as a stale document.
 
 mod fence;
+mod fetch;
 mod gate;
 mod order;
 mod slot;
@@ -20,6 +21,9 @@
 pub use self::fence::JOIN_WAIT;
 pub use self::fence::LONG_WAIT;
 pub use self::fence::SHORT_WAIT;
+pub use self::fetch::FETCH_PAUSE;
+pub use self::fetch::FETCH_TIMEOUT;
+pub use self::fetch::Fetch;
 pub use self::gate::Gate;
 pub use self::order::Decision;
 pub use self::order::Order;
