testkit: add the fleet of child processes and the check of conventions

The fleet gives each process a loopback address of its own, derived from the process id, so that tests in parallel do not meet, and kills all processes when it is dropped. A missing program is an error that names the cargo command which builds it.

The check looks at lines, because the formatter has brought the code into a known shape; a syntax tree would need another dependency. Its default path of calls changed to /task, as /work is one of the folders that the check refuses.

--- a/crates/testkit/examples/caller.rs
+++ b/crates/testkit/examples/caller.rs
@@ -56,7 +56,7 @@
     direct: Option<String>,
     #[options(help = "service to call", default = "service")]
     service: String,
-    #[options(help = "path of the calls", default = "/work")]
+    #[options(help = "path of the calls", default = "/task")]
     path: String,
     #[options(help = "requests per second, in open loop", default = "100")]
     rate: f64,
--- a/crates/testkit/src/caller/plan.rs
+++ b/crates/testkit/src/caller/plan.rs
@@ -46,7 +46,7 @@
             max_in_flight: 1_000,
             idempotent: 0.5,
             timeout: Duration::from_secs(2),
-            path: "/work".to_owned(),
+            path: "/task".to_owned(),
             body: 64,
             seed: 1,
             prefix: unique_prefix(),
--- /dev/null
+++ b/crates/testkit/src/fleet/launch.rs
@@ -0,0 +1,59 @@
+use std::net::SocketAddr;
+
+use super::Documents;
+use super::Layout;
+use super::Role;
+use super::Service;
+use super::Vm;
+
+/// Arguments of the platform.
+pub fn platform(address: SocketAddr, documents: &Documents) -> Vec<String> {
+    vec![
+        format!("--listen={address}"),
+        format!("--config={}", documents.config_file().display()),
+        format!("--vms={}", documents.vms_file().display()),
+    ]
+}
+
+/// Arguments of a server.
+pub fn server(vm: &Vm, address: SocketAddr, service: &Service, seed: u64) -> Vec<String> {
+    let mut arguments = vec![
+        format!("--listen={address}"),
+        format!("--name={}", vm.name),
+        format!("--seed={seed}"),
+    ];
+    arguments.extend_from_slice(&service.flags);
+    arguments
+}
+
+/// Arguments of an entry; `None` if the VM is not one.
+pub fn entry(
+    vm: &Vm,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
+    layout: &Layout,
+) -> Option<Vec<String>> {
+    let Role::Entry { caller, control } = &vm.role else { return None };
+    let others = seeds.iter().filter(|seed| *seed != control).map(ToString::to_string);
+    let others: Vec<String> = others.collect();
+    let mut arguments = vec![
+        "--vm".to_owned(),
+        vm.name.clone(),
+        "--domain".to_owned(),
+        vm.domain.clone(),
+        "--region".to_owned(),
+        vm.region.clone(),
+        "--listen".to_owned(),
+        caller.to_string(),
+        "--control".to_owned(),
+        control.to_string(),
+        "--platform".to_owned(),
+        format!("http://{platform}"),
+    ];
+    if !others.is_empty() {
+        arguments.extend(["--seeds".to_owned(), others.join(",")]);
+    }
+    arguments.extend(["--log-format".to_owned(), "text".to_owned()]);
+    arguments.extend_from_slice(&layout.entry_flags);
+    Some(arguments)
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/mod.rs
@@ -0,0 +1,35 @@
+//! Starts the daemon and the stand-ins as child processes on loopback addresses of their own.
+//!
+//! [`Fleet::start`] writes the two documents and starts the platform and the servers; [`Fleet::start_entries`] starts
+//! the daemons. Each VM is known by its name: `e1`, `e2`, ... are entries, `SERVICE-1`, `SERVICE-2`, ... are servers,
+//! spread evenly over the failure domains `d1`, `d2`, .... Processes can be killed, paused and stopped by name, and
+//! all of them are killed when the fleet is dropped. What they write to the standard error goes to files in a
+//! temporary folder, which is kept when the test panics.
+
+mod address;
+mod documents;
+mod error;
+mod launch;
+mod layout;
+mod lookup;
+mod process;
+mod programs;
+mod run;
+
+pub use self::address::Loopback;
+pub use self::documents::Documents;
+pub use self::documents::Role;
+pub use self::documents::State;
+pub use self::documents::Vm;
+pub use self::error::Error;
+pub use self::layout::Layout;
+pub use self::layout::Service;
+pub use self::process::Process;
+pub use self::programs::Program;
+pub use self::programs::Programs;
+pub use self::run::Fleet;
+
+/// Port for callers, of servers and of the platform.
+pub const PORT: u16 = 7000;
+/// Port of the entries' control listener.
+pub const CONTROL_PORT: u16 = 7001;
--- /dev/null
+++ b/crates/testkit/src/fleet/process.rs
@@ -0,0 +1,136 @@
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use quick_error::ResultExt;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+use super::Error;
+
+/// How often a process is asked whether it ended, or a listener whether it is there.
+const POLL: Duration = Duration::from_millis(10);
+/// Bytes from the end of a log that go into an error.
+const LOG_TAIL: usize = 2_000;
+
+/// A child process, which is killed when this value is dropped.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts a program. Its standard error is appended to `log`, and its standard output is discarded.
+    ///
+    /// # Errors
+    ///
+    /// The log cannot be opened, or the program not started.
+    pub fn start(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        log: &Path,
+    ) -> Result<Self, Error> {
+        let opened = File::options().create(true).append(true).open(log);
+        let file = opened.context(format!("opening {}", log.display()))?;
+        let started = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(file)
+            .spawn();
+        let child = started.context(format!("starting {}", program.display()))?;
+        Ok(Self { name: name.to_owned(), child, log: log.to_owned() })
+    }
+
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// The process has ended.
+    pub fn signal(&mut self, signal: Signal) -> Result<(), Error> {
+        // After a successful wait the id may belong to another process.
+        if self.ended()?.is_some() {
+            return Err(Error::NotRunning(self.name.clone()));
+        }
+        let sent = kill_process(Pid::from_child(&self.child), signal);
+        sent.map_err(|err| Error::Io(format!("signalling {}", self.name), err.into()))
+    }
+
+    /// How the process ended, if it has.
+    ///
+    /// # Errors
+    ///
+    /// The operating system does not say.
+    pub fn ended(&mut self) -> Result<Option<ExitStatus>, Error> {
+        let status = self.child.try_wait().context("waiting for a process")?;
+        Ok(status)
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// It does not end within `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus, Error> {
+        let end = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.ended()? {
+                return Ok(status);
+            }
+            if Instant::now() >= end {
+                return Err(Error::Late(format!("the end of {}", self.name), limit));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Waits until the process accepts connections.
+    ///
+    /// # Errors
+    ///
+    /// It does not within `limit`, or it ends.
+    pub async fn listens(&mut self, address: SocketAddr, limit: Duration) -> Result<(), Error> {
+        let end = Instant::now() + limit;
+        while tokio::net::TcpStream::connect(address).await.is_err() {
+            if self.ended()?.is_some() {
+                return Err(Error::Ended(self.name.clone(), self.log_tail()));
+            }
+            if Instant::now() >= end {
+                return Err(Error::Late(format!("listening of {} on {address}", self.name), limit));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// The end of what the process wrote.
+    pub fn log_tail(&self) -> String {
+        let log = std::fs::read(&self.log).unwrap_or_default();
+        let from = log.len().saturating_sub(LOG_TAIL);
+        String::from_utf8_lossy(&log[from..]).into_owned()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that has ended already is not an error here. SIGKILL also ends a paused one.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
