--- a/crates/core/src/control/beat.rs
+++ b/crates/core/src/control/beat.rs
@@ -5,9 +5,6 @@
 
 use super::Control;
 use super::Hello;
-use super::Kind;
-use crate::intent::Order;
-use crate::intent::Source;
 use crate::member::Capacity;
 use crate::member::Heartbeat;
 use crate::member::Origin;
@@ -17,7 +14,6 @@
 use crate::port::Clock;
 use crate::port::Mesh;
 use crate::port::Ports;
-use crate::port::Reader;
 
 /// Time between two heartbeats to a peer. Three missed ones make it silent.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -25,9 +21,6 @@
 /// Longest wait for the answer to a heartbeat, so that a round ends before the next one.
 const TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Longest wait for a document of a peer, which has up to 1 MB.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// An entry to exchange heartbeats with. A seed's name is not known before it answers.
 struct Other {
     vm: Option<name::Vm>,
@@ -92,11 +85,8 @@
         let Some(answer) = answer else {
             return;
         };
-        let from = answer.from.clone();
-        let (config, list) = (answer.beat.config, answer.beat.list);
+        self.contacts.lock().insert(answer.from.clone(), other.address);
         self.take(answer, Origin::Answer { asked });
-        self.fetch(Kind::Config, config, other.address, &from).await;
-        self.fetch(Kind::List, list, other.address, &from).await;
     }
 
     fn take(&self, hello: Hello, origin: Origin) {
@@ -104,32 +94,7 @@
         self.tables.timeline.receive(self.clock().wall_millis(), hello.beat.clock);
         self.tables.peers.heard(now, &hello.from, hello.beat, origin, &self.journal());
         self.changed.notify_one();
-    }
-
-    /// Fetches a document that a peer has in force if it comes after the one in force here.
-    async fn fetch(&self, kind: Kind, order: Option<Order>, address: SocketAddr, from: &name::Vm) {
-        let Some(order) = order else {
-            return;
-        };
-        if !self.wants(kind, order) {
-            return;
-        }
-        let Some(bytes) = self.ports.peer().document(address, kind, FETCH_TIMEOUT).await else {
-            return;
-        };
-        let number = self.ports.reader().number(kind, &bytes);
-        self.offer(kind, Order::of(number, &bytes), &bytes, Source::Peer(from));
-    }
-
-    /// Whether a document comes after the one in force and was not refused.
-    fn wants(&self, kind: Kind, order: Order) -> bool {
-        let (config, list) = self.tables.intent.orders();
-        match kind {
-            Kind::Config => {
-                config < Some(order) && !self.tables.intent.config().refused.contains(&order)
-            }
-            Kind::List => list < Some(order) && !self.tables.intent.list().refused.contains(&order),
-        }
+        self.newer.notify_one();
     }
 
     /// The entries of the VM list; before there is one, the seeds.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -8,12 +8,14 @@
 mod beat;
 mod claims;
 mod document;
+mod fetch;
 mod holding;
 mod message;
 mod probe;
 mod reconcile;
 mod tick;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -22,6 +24,7 @@
 
 use crate::event::Event;
 use crate::flow::Tables;
+use crate::intent::Fetch;
 use crate::lease;
 use crate::lock::Mutex;
 use crate::lock::Rank;
@@ -68,11 +71,31 @@
     ports: Arc<O>,
     leases: Mutex<lease::Table>,
     probes: Mutex<Probes>,
+    fetching: Mutex<Fetching>,
+    /// Where peers answered last, listed or not.
+    contacts: Mutex<HashMap<name::Vm, SocketAddr>>,
     basis: Mutex<Option<Basis>>,
     changed: Notify,
+    newer: Notify,
     leaving: Notify,
 }
 
+/// Paces the fetches of both kinds of documents.
+#[derive(Debug, Default)]
+struct Fetching {
+    config: Fetch,
+    list: Fetch,
+}
+
+impl Fetching {
+    fn of(&mut self, kind: Kind) -> &mut Fetch {
+        match kind {
+            Kind::Config => &mut self.config,
+            Kind::List => &mut self.list,
+        }
+    }
+}
+
 /// Joins the time line with the wall clock.
 pub(crate) struct Recorder<'a, C> {
     pub(crate) tables: &'a Tables,
@@ -99,8 +122,11 @@
         let control = Self {
             leases: Mutex::new(Rank::Promises, leases),
             probes: Mutex::new(Rank::Members, Probes::default()),
+            fetching: Mutex::new(Rank::Members, Fetching::default()),
+            contacts: Mutex::new(Rank::Members, HashMap::new()),
             basis: Mutex::new(Rank::Intent, None),
             changed: Notify::new(),
+            newer: Notify::new(),
             leaving: Notify::new(),
             identity,
             seeds,
@@ -130,7 +156,7 @@
     /// Runs all tasks until cancelled.
     pub async fn run(&self, cancel: &CancellationToken) {
         let tasks = async {
-            tokio::join!(self.beats(), self.ticks(), self.leases(), self.probing());
+            tokio::join!(self.beats(), self.ticks(), self.fetches(), self.leases(), self.probing(),);
         };
         tokio::select! {
             () = tasks => {}
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -43,6 +43,7 @@
 use crate::port::Ports;
 use crate::request::Attempt;
 use crate::request::Request;
+use crate::time::Instant;
 
 pub use self::address::Address;
 pub use self::address::Addresses;
@@ -98,12 +99,12 @@
 }
 
 impl Tables {
-    /// Creates empty tables.
-    pub fn new(peers: Peers) -> Self {
+    /// Creates empty tables for the entry `own`, whose process started at `start`.
+    pub fn new(own: name::Vm, start: Instant) -> Self {
         Self {
-            gate: Gate::default(),
+            gate: Gate::new(start),
             intent: intent::Table::new(),
-            peers,
+            peers: Peers::new(own, start),
             ledger: Arc::default(),
             timeline: Timeline::new(EVENTS),
             unconfirmed: Notify::new(),
--- a/crates/core/src/gate/mod.rs
+++ b/crates/core/src/gate/mod.rs
@@ -1,27 +1,34 @@
 //! Whether this entry may take new work, as a check that costs a few atomic loads.
 //!
-//! The fence is stored as the time at which what the entry has heard becomes too old. A process that
-//! was paused compares that time with the clock when it wakes, so it is fenced at once, without any
-//! task having to notice the pause first.
+//! It joins the fence and readiness, which [`crate::intent::Gate`] decides, with the planned stop.
 
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use crate::intent;
+use crate::intent::Evidence;
 use crate::outcome::Refusal;
+use crate::port::Journal;
 use crate::time::Instant;
 
 /// The conditions under which new work is taken.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Gate {
-    ready: AtomicBool,
+    intent: intent::Gate,
     leaving: AtomicBool,
     closed: AtomicBool,
-    reported: AtomicBool,
-    fresh_until: AtomicU64,
 }
 
 impl Gate {
+    /// Creates the gate of a process that started at `start`. It admits nothing yet.
+    pub fn new(start: Instant) -> Self {
+        Self {
+            intent: intent::Gate::new(start),
+            leaving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+        }
+    }
+
     /// Checks whether a request of a caller may be admitted.
     ///
     /// # Errors
@@ -31,7 +38,7 @@
         if self.closed.load(Ordering::Acquire) {
             return Err(Refusal::Leaving);
         }
-        if !self.ready.load(Ordering::Acquire) {
+        if !self.intent.ready() {
             return Err(Refusal::NotReady);
         }
         self.dispatches(now)
@@ -48,12 +55,12 @@
 
     /// Whether what this entry has heard is too old.
     pub fn is_fenced(&self, now: Instant) -> bool {
-        now.as_nanos() >= self.fresh_until.load(Ordering::Acquire)
+        self.intent.fenced(now)
     }
 
     /// Whether the entry has what it needs to serve callers.
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire)
+        self.intent.ready()
     }
 
     /// Whether the planned stop has begun.
@@ -61,21 +68,9 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Whether the entry is fenced, if that has changed since the last call.
-    pub fn fence_change(&self, now: Instant) -> Option<bool> {
-        let fenced = self.is_fenced(now);
-        let before = self.reported.swap(fenced, Ordering::AcqRel);
-        (fenced != before).then_some(fenced)
-    }
-
-    /// Sets until when what this entry has heard is recent enough.
-    pub fn set_fresh_until(&self, until: Instant) {
-        self.fresh_until.store(until.as_nanos(), Ordering::Release);
-    }
-
-    /// Opens the gate; it stays open until the process ends.
-    pub fn set_ready(&self) {
-        self.ready.store(true, Ordering::Release);
+    /// Decides again about the fence and readiness. One task at a time calls this.
+    pub fn update(&self, now: Instant, evidence: &Evidence, journal: &impl Journal) {
+        self.intent.update(now, evidence, journal);
     }
 
     /// Starts the planned stop: callers are told to use other entries, and requests are still taken
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -12,7 +12,6 @@
 use jackdawpin_core::control::Identity;
 use jackdawpin_core::flow::Router;
 use jackdawpin_core::flow::Tables;
-use jackdawpin_core::member::Peers;
 use jackdawpin_core::port::Clock;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -128,8 +127,7 @@
             // A VM keeps nothing, so only the wall clock orders its processes.
             incarnation: clock::Boot.wall_millis(),
         };
-        let peers = Peers::new(settings.vm.clone(), clock::Boot.now());
-        let tables = Arc::new(Tables::new(peers));
+        let tables = Arc::new(Tables::new(settings.vm.clone(), clock::Boot.now()));
         let telemetry = Arc::new(Telemetry::default());
         let buffered = telemetry.metrics().entry.buffered.clone();
         let budget = Budget::new(settings.max_buffered_bytes, buffered);
--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -99,10 +99,11 @@
         End::Refused(Refusal::NoServer) => 9,
         End::Refused(Refusal::Attempts) => 10,
         End::Refused(Refusal::Full) => 11,
-        End::Unknown(Doubt::Broken) => 12,
-        End::Unknown(Doubt::Timeout) => 13,
-        End::Unknown(Doubt::BadAnswer) => 14,
-        End::GivenUp => 15,
+        End::Refused(Refusal::Memory) => 12,
+        End::Unknown(Doubt::Broken) => 13,
+        End::Unknown(Doubt::Timeout) => 14,
+        End::Unknown(Doubt::BadAnswer) => 15,
+        End::GivenUp => 16,
     }
 }
 
@@ -110,5 +111,5 @@
 #[test]
 fn all_ends_are_listed() {
     let places: Vec<usize> = End::ALL.into_iter().map(place).collect();
-    assert!(places.into_iter().eq(0..16));
+    assert!(places.into_iter().eq(0..17));
 }
