--- /dev/null
+++ b/crates/daemon/tests/path.rs
@@ -0,0 +1,66 @@
+//! Requests through separate processes: callers, entries, servers and the platform on loopback.
+
+use std::time::Duration;
+
+use jackdawpin_testkit::caller::Audit;
+use jackdawpin_testkit::caller::Caller;
+use jackdawpin_testkit::caller::Options;
+use jackdawpin_testkit::caller::Pace;
+use jackdawpin_testkit::caller::Record;
+use jackdawpin_testkit::caller::Report;
+use jackdawpin_testkit::caller::Target;
+use jackdawpin_testkit::caller::fetch_ledgers;
+use jackdawpin_testkit::fleet::Fleet;
+use jackdawpin_testkit::fleet::Layout;
+use jackdawpin_testkit::fleet::Service;
+use tokio_util::sync::CancellationToken;
+
+/// Time for a fleet to become ready.
+const READY: Duration = Duration::from_secs(20);
+
+fn layout() -> Layout {
+    let service =
+        |name: &str, servers| Service { name: name.to_owned(), servers, flags: Vec::new() };
+    Layout {
+        domains: 4,
+        entries: 4,
+        services: vec![service("alerts", 8), service("orders", 4)],
+        ..Layout::default()
+    }
+}
+
+async fn load(fleet: &Fleet, service: &str, options: Options) -> Vec<Record> {
+    let target = Target::Entries { first: fleet.entries(), service: service.to_owned() };
+    let caller = Caller::new(options, &[target]).await.unwrap();
+    caller.run(&CancellationToken::new()).await
+}
+
+fn options(rate: f64, seconds: u64, idempotent: f64) -> Options {
+    Options {
+        pace: Pace::Open(rate),
+        time: Duration::from_secs(seconds),
+        idempotent,
+        ..Options::default()
+    }
+}
+
+/// Guards against requests that are lost, doubled, refused although they ran, or answered with
+/// another request's answer, on the whole path with all servers cold at the start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn mixed_load_is_accounted_for() {
+    let mut fleet = Fleet::start(layout()).await.unwrap();
+    fleet.start_entries(READY).await.unwrap();
+    let lookups = load(&fleet, "alerts", options(400.0, 4, 0.9));
+    let orders = load(&fleet, "orders", options(100.0, 4, 0.0));
+    let (lookups, orders) = tokio::join!(lookups, orders);
+    let records: Vec<Record> = lookups.into_iter().chain(orders).collect();
+    let report = Report::of(&records);
+    let ledgers = fetch_ledgers(&fleet.servers(None)).await.unwrap();
+    let audit = Audit::of(&records, &ledgers);
+    println!("{report}\n{audit:?}");
+    assert!(report.balanced && report.unexplained == 0, "{report}");
+    assert!(audit.is_clean(), "{audit:?}");
+    assert!(report.answered * 100 >= report.sent * 99, "{report}");
+    let overrun: u64 = ledgers.iter().map(|ledger| ledger.counts.overrun).sum();
+    assert_eq!(overrun, 0, "a cold server got more than it can bear");
+}
