--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,5 +17,6 @@
 
 /// Runs the daemon until it is told to stop.
 pub fn run(_: &Settings) -> ExitCode {
+    log::info!("nothing to run yet");
     ExitCode::SUCCESS
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,10 +1,12 @@
-//! Reads the settings and runs the daemon.
+//! Reads the settings, starts the log and runs the daemon.
 
 use std::process::ExitCode;
 
+use jackdawpin_daemon::logs;
 use jackdawpin_daemon::settings::Command;
 use jackdawpin_daemon::settings::EXIT_INVALID;
 use jackdawpin_daemon::settings::Help;
+use jackdawpin_daemon::settings::Settings;
 
 fn main() -> ExitCode {
     // Arguments that are not UTF-8 are kept with replacement characters and fail the checks.
@@ -16,7 +18,7 @@
         Ok(Command::Help) => print!("{Help}"),
         Ok(Command::Version) => println!("jackdawpind {}", env!("CARGO_PKG_VERSION")),
         Ok(Command::Check(_)) => println!("the settings are valid"),
-        Ok(Command::Run(settings)) => return jackdawpin_daemon::run(&settings),
+        Ok(Command::Run(settings)) => return run(&settings),
         Err(problems) => {
             eprintln!("{problems}");
             return ExitCode::from(EXIT_INVALID);
@@ -24,3 +26,15 @@
     }
     ExitCode::SUCCESS
 }
+
+fn run(settings: &Settings) -> ExitCode {
+    // The writer lives until the daemon has ended, so that its last lines are written.
+    let _writer = match logs::start(settings.log, &settings.vm) {
+        Ok(writer) => writer,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    jackdawpin_daemon::run(settings)
+}
