--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,8 @@
 //! Reads the settings, starts the log and runs the daemon.
 
+use std::fmt::Display;
+use std::io;
+use std::io::Write;
 use std::process::ExitCode;
 
 use jackdawpin_daemon::logs;
@@ -15,12 +18,14 @@
     let variable =
         |name: &str| std::env::var_os(name).map(|value| value.to_string_lossy().into_owned());
     match Command::read(&arguments, variable) {
-        Ok(Command::Help) => print!("{Help}"),
-        Ok(Command::Version) => println!("jackdawpind {}", env!("CARGO_PKG_VERSION")),
-        Ok(Command::Check(_)) => println!("the settings are valid"),
+        Ok(Command::Help) => say(io::stdout(), Help),
+        Ok(Command::Version) => {
+            say(io::stdout(), concat!("jackdawpind ", env!("CARGO_PKG_VERSION")))
+        }
+        Ok(Command::Check(_)) => say(io::stdout(), "the settings are valid"),
         Ok(Command::Run(settings)) => return run(&settings),
         Err(problems) => {
-            eprintln!("{problems}");
+            say(io::stderr(), problems);
             return ExitCode::from(EXIT_INVALID);
         }
     }
@@ -32,9 +37,14 @@
     let _writer = match logs::start(settings.log, &settings.vm) {
         Ok(writer) => writer,
         Err(error) => {
-            eprintln!("{error}");
+            say(io::stderr(), error);
             return ExitCode::FAILURE;
         }
     };
     jackdawpin_daemon::run(settings)
 }
+
+/// Writes one message. A reader that has left, such as a pager, is no fault of the program.
+fn say(mut output: impl Write, message: impl Display) {
+    let _ = writeln!(output, "{message}");
+}
--- a/crates/daemon/src/settings/help.rs
+++ b/crates/daemon/src/settings/help.rs
@@ -28,8 +28,9 @@
             writeln!(f, "      allowed: {}", setting.rule)?;
         }
         writeln!(f)?;
-        for action in table::ACTIONS {
-            writeln!(f, "  --{:<9} {}", action.flag, action.help)?;
+        for (i, action) in table::ACTIONS.into_iter().enumerate() {
+            let end = if i + 1 < table::ACTIONS.len() { "\n" } else { "" };
+            write!(f, "  --{:<9} {}{end}", action.flag, action.help)?;
         }
         Ok(())
     }
