--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,10 +1,15 @@
-//! Reads the settings and runs the daemon.
+//! Reads the settings, starts the log and runs the daemon.
 
+use std::fmt::Display;
+use std::io;
+use std::io::Write;
 use std::process::ExitCode;
 
+use jackdawpin_daemon::logs;
 use jackdawpin_daemon::settings::Command;
 use jackdawpin_daemon::settings::EXIT_INVALID;
 use jackdawpin_daemon::settings::Help;
+use jackdawpin_daemon::settings::Settings;
 
 fn main() -> ExitCode {
     // Arguments that are not UTF-8 are kept with replacement characters and fail the checks.
@@ -13,14 +18,33 @@
     let variable =
         |name: &str| std::env::var_os(name).map(|value| value.to_string_lossy().into_owned());
     match Command::read(&arguments, variable) {
-        Ok(Command::Help) => print!("{Help}"),
-        Ok(Command::Version) => println!("jackdawpind {}", env!("CARGO_PKG_VERSION")),
-        Ok(Command::Check(_)) => println!("the settings are valid"),
-        Ok(Command::Run(settings)) => return jackdawpin_daemon::run(settings),
+        Ok(Command::Help) => say(io::stdout(), Help),
+        Ok(Command::Version) => {
+            say(io::stdout(), concat!("jackdawpind ", env!("CARGO_PKG_VERSION")))
+        }
+        Ok(Command::Check(_)) => say(io::stdout(), "the settings are valid"),
+        Ok(Command::Run(settings)) => return run(settings),
         Err(problems) => {
-            eprintln!("{problems}");
+            say(io::stderr(), problems);
             return ExitCode::from(EXIT_INVALID);
         }
     }
     ExitCode::SUCCESS
 }
+
+fn run(settings: Settings) -> ExitCode {
+    // The writer lives until the daemon has ended, so that its last lines are written.
+    let _writer = match logs::start(settings.log, &settings.vm) {
+        Ok(writer) => writer,
+        Err(error) => {
+            say(io::stderr(), error);
+            return ExitCode::FAILURE;
+        }
+    };
+    jackdawpin_daemon::run(settings)
+}
+
+/// Writes one message. A reader that has left, such as a pager, is no fault of the program.
+fn say(mut output: impl Write, message: impl Display) {
+    let _ = writeln!(output, "{message}");
+}
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -23,7 +23,6 @@
 use crate::front::Front;
 use crate::listen;
 use crate::listen::Budget;
-use crate::logs;
 use crate::platform;
 use crate::platform::Http;
 use crate::platform::Key;
@@ -56,26 +55,17 @@
         .worker_threads(settings.workers)
         .enable_all()
         .build();
-    let writer = match logs::start(settings.log, &settings.vm) {
-        Ok(writer) => writer,
-        Err(err) => {
-            eprintln!("cannot start the log: {err}");
-            return ExitCode::FAILURE;
-        }
-    };
     let result = match runtime {
         Ok(runtime) => runtime.block_on(serve(settings)),
         Err(err) => Err(Error::Runtime(err)),
     };
-    let code = match result {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!("{err}");
             ExitCode::FAILURE
         }
-    };
-    drop(writer);
-    code
+    }
 }
 
 async fn serve(settings: Settings) -> Result<(), Error> {
