core: end split votes between claimants of a cold server

Two entries that both believe that they hold a server, for example because one link between them is down, could each get some of the promises. As both renewed them, neither ever got a quorum and the server stayed unused. The new test of two, three and seven claimants that begin together fails without a pause.

A claim whose last lease ended 3 s ago now releases its promises and pauses, entries of a lower rank for longer. Promises that run out while the claimant is alive were ruled out: they would interrupt a holder that renews in time.

The 3 s are now counted from the latest end that a lease ever had.

--- a/crates/core/src/lease/claims.rs
+++ b/crates/core/src/lease/claims.rs
@@ -1,33 +1,33 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use smallvec::SmallVec;
 
+use super::Batch;
+use super::HOLD;
 use super::LIFETIME;
 use super::RENEWAL;
 use super::Target;
+use super::batch::Batches;
 use crate::member;
 use crate::name;
 use crate::rank;
 use crate::time::Instant;
 
-/// What to send to one witness. It is kept until the answer arrives.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Batch {
-    /// The receiver.
-    pub witness: name::Vm,
-    /// Number of the round.
-    pub round: u64,
-    /// A time before the batch is sent; the promises count from here.
-    pub begun: Instant,
-    /// Servers to claim.
-    pub claimed: Vec<Target>,
-    /// Servers to release.
-    pub released: Vec<Target>,
-}
+/// Time without a lease after which a claim pauses. It lets the promises to a failed holder expire and
+/// one more round pass.
+const PATIENCE: Duration = HOLD.saturating_add(RENEWAL);
 
 /// The promises that an entry has obtained for the servers it holds.
-#[derive(Debug, Clone, Default)]
+///
+/// Two entries that both believe that they hold a server may get some of its promises each, and would
+/// keep each other from a quorum for as long as both renew. A claim whose last lease, if any, ended
+/// [`PATIENCE`] ago therefore releases what it has and pauses. Entries of a lower rank pause longer, so that one of
+/// them finds the witnesses free.
+#[derive(Debug, Clone)]
 pub struct Claims {
+    /// The claimant.
+    name: name::Vm,
     /// The latest round.
     round: u64,
     claims: BTreeMap<Target, Claim>,
@@ -35,10 +35,15 @@
 
 #[derive(Debug, Clone)]
 struct Claim {
-    /// The round that began the claim. Answers to earlier rounds belong to a claim that was released.
+    /// The first round whose answers count. Promises of earlier rounds were released.
     first: u64,
     /// When the latest round began.
     begun: Instant,
+    /// Latest end that a lease had, or when the claim began or resumed. Requests sent under a lease
+    /// that a changed list made invalid may run until then.
+    leased: Instant,
+    /// End of the latest pause.
+    resume: Instant,
     witnesses: SmallVec<[Witness; rank::MAX_WITNESSES]>,
 }
 
@@ -49,7 +54,22 @@
     granted: Option<Instant>,
 }
 
+/// What to do for a claim in a round.
+enum Step {
+    /// Nothing yet.
+    Skip,
+    /// Ask the witnesses.
+    Ask,
+    /// Release what the witnesses promised.
+    Release,
+}
+
 impl Claims {
+    /// Creates the state of the entry `name`, which has no claims.
+    pub fn new(name: name::Vm) -> Self {
+        Self { name, round: 0, claims: BTreeMap::new() }
+    }
+
     /// Begins a round: claims or renews `wanted` servers, each given with its witnesses. Returns one
     /// batch per witness.
     ///
@@ -65,14 +85,16 @@
         W: AsRef<[&'a member::Vm]>,
     {
         self.round += 1;
-        self.claims.retain(|_, claim| claim.begun + LIFETIME > now);
+        self.claims.retain(|_, claim| claim.begun.max(claim.resume) + LIFETIME > now);
         let mut batches = Batches::new(self.round, now);
         for (target, witnesses) in wanted {
-            if self.renew(now, target, witnesses.as_ref()) {
-                witnesses
-                    .as_ref()
-                    .iter()
-                    .for_each(|vm| batches.of(&vm.name).claimed.push(target.clone()));
+            let witnesses = witnesses.as_ref().iter().map(|vm| &vm.name);
+            match self.step(now, target, witnesses.clone()) {
+                Step::Skip => (),
+                Step::Ask => witnesses.for_each(|vm| batches.of(vm).claimed.push(target.clone())),
+                Step::Release => {
+                    witnesses.for_each(|vm| batches.of(vm).released.push(target.clone()))
+                }
             }
         }
         batches.finish()
@@ -97,6 +119,7 @@
             let asked = claim.witnesses.iter_mut().find(|asked| asked.name == batch.witness);
             if let Some(asked) = asked {
                 asked.granted = asked.granted.max(Some(batch.begun));
+                claim.note_lease();
             }
         }
     }
@@ -107,13 +130,7 @@
     /// The result must not be kept beyond a change of the VM list, and `now` must be read just before
     /// it is used.
     pub fn valid_until(&self, target: &Target, now: Instant) -> Option<Instant> {
-        let claim = self.claims.get(target)?;
-        let mut granted: SmallVec<[Instant; rank::MAX_WITNESSES]> =
-            claim.witnesses.iter().filter_map(|witness| witness.granted).collect();
-        granted.sort_unstable_by(|a, b| b.cmp(a));
-        let needed = rank::quorum(claim.witnesses.len());
-        let until = *granted.get(needed - 1)? + LIFETIME;
-        (until > now).then_some(until)
+        self.claims.get(target)?.until().filter(|until| *until > now)
     }
 
     /// Witnesses whose promise of `target` counts at `now`, and how many are needed.
@@ -149,53 +166,64 @@
         self.claims.keys()
     }
 
-    /// Notes that `target` is claimed in this round; false if it is too early for that.
-    fn renew(&mut self, now: Instant, target: &Target, witnesses: &[&member::Vm]) -> bool {
-        let Some(claim) = self.claims.get_mut(target) else {
-            let claim = Claim { first: self.round, begun: now, witnesses: merge(&[], witnesses) };
-            self.claims.insert(target.clone(), claim);
-            return true;
-        };
-        let names = claim.witnesses.iter().map(|witness| &witness.name);
-        let same = names.eq(witnesses.iter().map(|vm| &vm.name));
-        if same && now < claim.begun + RENEWAL {
-            return false;
+    /// Decides what to do for `target` in this round and notes it.
+    fn step<'a>(
+        &mut self,
+        now: Instant,
+        target: &Target,
+        witnesses: impl Iterator<Item = &'a name::Vm> + Clone,
+    ) -> Step {
+        let round = self.round;
+        let claim = self.claims.entry(target.clone()).or_insert_with(|| Claim::new(round, now));
+        let same = claim.witnesses.iter().map(|witness| &witness.name).eq(witnesses.clone());
+        if now < claim.resume || (same && now < claim.begun + RENEWAL) {
+            return Step::Skip;
+        }
+        claim.set_witnesses(witnesses);
+        if claim.leased + PATIENCE <= now {
+            claim.pause(now, round, &self.name);
+            return Step::Release;
         }
         claim.begun = now;
-        claim.witnesses = merge(&claim.witnesses, witnesses);
-        true
+        Step::Ask
     }
 }
 
-/// The witnesses of a new list, with what they granted under the old one.
-fn merge(old: &[Witness], new: &[&member::Vm]) -> SmallVec<[Witness; rank::MAX_WITNESSES]> {
-    let granted = |name: &name::Vm| old.iter().find(|found| found.name == *name)?.granted;
-    new.iter().map(|vm| Witness { name: vm.name.clone(), granted: granted(&vm.name) }).collect()
-}
+impl Claim {
+    fn new(round: u64, now: Instant) -> Self {
+        Self { first: round, begun: now, leased: now, resume: now, witnesses: SmallVec::new() }
+    }
 
-/// The batches of one round, by witness.
-struct Batches {
-    round: u64,
-    begun: Instant,
-    batches: BTreeMap<name::Vm, Batch>,
-}
+    /// The time until which a quorum of promises counts, whether or not it has passed.
+    fn until(&self) -> Option<Instant> {
+        let mut granted: SmallVec<[Instant; rank::MAX_WITNESSES]> =
+            self.witnesses.iter().filter_map(|witness| witness.granted).collect();
+        granted.sort_unstable_by(|a, b| b.cmp(a));
+        let needed = rank::quorum(self.witnesses.len());
+        granted.get(needed - 1).map(|at| *at + LIFETIME)
+    }
 
-impl Batches {
-    fn new(round: u64, begun: Instant) -> Self {
-        Self { round, begun, batches: BTreeMap::new() }
+    /// Must be called after each change of a witness.
+    fn note_lease(&mut self) {
+        self.leased = self.leased.max(self.until().unwrap_or_default());
     }
 
-    fn of(&mut self, witness: &name::Vm) -> &mut Batch {
-        self.batches.entry(witness.clone()).or_insert_with(|| Batch {
-            witness: witness.clone(),
-            round: self.round,
-            begun: self.begun,
-            claimed: Vec::new(),
-            released: Vec::new(),
-        })
+    /// Takes the witnesses of the current list, with what they granted under the one before.
+    fn set_witnesses<'a>(&mut self, names: impl Iterator<Item = &'a name::Vm>) {
+        let old = std::mem::take(&mut self.witnesses);
+        let granted = |name: &name::Vm| old.iter().find(|found| found.name == *name)?.granted;
+        self.witnesses =
+            names.map(|name| Witness { name: name.clone(), granted: granted(name) }).collect();
+        self.note_lease();
     }
 
-    fn finish(self) -> Vec<Batch> {
-        self.batches.into_values().collect()
+    /// Gives up all promises and pauses, the longer the later `name` is among the witnesses.
+    fn pause(&mut self, now: Instant, round: u64, name: &name::Vm) {
+        let rank = self.witnesses.iter().take_while(|witness| witness.name != *name).count();
+        let rounds = u32::try_from(rank).unwrap_or(u32::MAX).saturating_add(2);
+        self.first = round + 1;
+        self.resume = now + RENEWAL.saturating_mul(rounds);
+        self.leased = self.resume;
+        self.witnesses.iter_mut().for_each(|witness| witness.granted = None);
     }
 }
--- a/crates/core/src/lease/mod.rs
+++ b/crates/core/src/lease/mod.rs
@@ -16,6 +16,7 @@
 //! Messages may be lost, repeated and reordered. Each carries the number of its round, which grows
 //! with each message of a claimant, so that a delayed release cannot end a newer promise.
 
+mod batch;
 mod claims;
 mod promises;
 mod table;
@@ -24,7 +25,7 @@
 
 use crate::name;
 
-pub use self::claims::Batch;
+pub use self::batch::Batch;
 pub use self::claims::Claims;
 pub use self::promises::MAX_PROMISES;
 pub use self::promises::Promises;
--- a/crates/core/src/lease/table.rs
+++ b/crates/core/src/lease/table.rs
@@ -23,7 +23,8 @@
     /// Creates the table of the entry `name` that started at `start`. `incarnation` must differ from
     /// that of each earlier start.
     pub fn new(name: name::Vm, incarnation: u64, start: Instant) -> Self {
-        Self { name, incarnation, promises: Promises::new(start), claims: Claims::default() }
+        let claims = Claims::new(name.clone());
+        Self { name, incarnation, promises: Promises::new(start), claims }
     }
 
     /// Claims or renews `wanted` servers and returns what to send to other entries. See
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -22,6 +22,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestError;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
 use rstest::rstest;
@@ -34,8 +35,8 @@
 /// Entries that claim; all entries are witnesses.
 const CLAIMANTS: usize = 3;
 
-/// Runs per test. 200 are enough to notice each rule that is left out.
-const CASES: u32 = 600;
+/// Runs per test. 250 are enough to notice each rule that is left out.
+const CASES: u32 = 800;
 
 /// A rule that a run leaves out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -346,7 +347,10 @@
             obtained.set(obtained.get() + run.obtained);
             Ok(())
         });
-    result.map(|()| obtained.get()).map_err(|error| error.to_string())
+    result.map(|()| obtained.get()).map_err(|error| match error {
+        TestError::Fail(reason, _) => reason.to_string(),
+        TestError::Abort(reason) => format!("not run: {reason}"),
+    })
 }
 
 /// Guards against two entries sending to a cold server at once (I2), for each size of witness sets
@@ -438,3 +442,36 @@
     table.granted(&second[0], "e1", &[true]);
     assert_eq!(table.valid_until(&target, at(4)), Some(at(3) + LIFETIME));
 }
+
+/// Guards against entries that keep each other from a quorum for ever: all begin at once, each gets
+/// some of the promises, and all go on claiming.
+#[rstest]
+#[case(2)]
+#[case(3)]
+#[case(7)]
+fn a_split_vote_ends(#[case] claimants: usize) {
+    let vms: Vec<_> = (0..7).map(|index| vm(&format!("e{index}"))).collect();
+    let (witnesses, target): (Vec<_>, _) = (vms.iter().collect(), target(0));
+    let table = |vm: &member::Vm| Table::new(vm.name.clone(), 1, at(0).before(HOLD));
+    let mut tables: Vec<_> = vms.iter().map(table).collect();
+    let mut ended = None;
+    for round in 0..60 {
+        let now = at(round * 500);
+        let begin = |entry: usize| (entry, tables[entry].begin(now, [(&target, &witnesses)]));
+        let sent: Vec<_> = (0..claimants).map(begin).collect();
+        let pairs = sent.iter().flat_map(|(from, batches)| batches.iter().map(|b| (*from, b)));
+        let mut pairs: Vec<_> = pairs.collect();
+        Rng::with_seed(round).shuffle(&mut pairs);
+        for (from, batch) in pairs {
+            let to = vms.iter().position(|vm| vm.name == batch.witness).unwrap();
+            let claimant = claimant(&vms[from].name, batch.round);
+            let answer = tables[to].answer(now, claimant, &batch.claimed, &batch.released);
+            tables[from].granted(batch, batch.witness.as_str(), &answer);
+        }
+        let leased = tables.iter().any(|table| table.valid_until(&target, now).is_some());
+        ended = ended.or(leased.then_some(round));
+        assert!(leased || ended.is_none(), "the lease of round {ended:?} ended in round {round}");
+    }
+    println!("{claimants} claimants: a lease in round {ended:?}");
+    assert!((1..30).contains(&ended.unwrap()), "{ended:?}");
+}
