--- a/crates/core/src/lease/claims.rs
+++ b/crates/core/src/lease/claims.rs
@@ -14,16 +14,16 @@
 use crate::rank;
 use crate::time::Instant;
 
-/// Time without a lease after which a claim pauses. It lets the promises to a failed holder expire and
-/// one more round pass.
+/// Time without a lease after which a claim pauses. It lets the promises to a failed holder expire
+/// and one more round pass.
 const PATIENCE: Duration = HOLD.saturating_add(RENEWAL);
 
 /// The promises that an entry has obtained for the servers it holds.
 ///
-/// Two entries that both believe that they hold a server may get some of its promises each, and would
-/// keep each other from a quorum for as long as both renew. A claim whose last lease, if any, ended
-/// [`PATIENCE`] ago therefore releases what it has and pauses. Entries of a lower rank pause longer, so that one of
-/// them finds the witnesses free.
+/// Two entries that both believe that they hold a server may get some of its promises each, and
+/// would keep each other from a quorum for as long as both renew. A claim whose last lease, if any,
+/// ended 3 s ago therefore releases what it has and pauses. Entries of a lower rank pause
+/// longer, so that one of them finds the witnesses free.
 #[derive(Debug, Clone)]
 pub struct Claims {
     /// The claimant.
@@ -70,8 +70,8 @@
         Self { name, round: 0, claims: BTreeMap::new() }
     }
 
-    /// Begins a round: claims or renews `wanted` servers, each given with its witnesses. Returns one
-    /// batch per witness.
+    /// Begins a round: claims or renews `wanted` servers, each given with its witnesses. Returns
+    /// one batch per witness.
     ///
     /// A server that was claimed less than [`RENEWAL`] ago from the same witnesses is left out, so
     /// this may be called as often as needed. A claim that is no longer renewed is dropped when its
@@ -104,8 +104,8 @@
     /// promised. Missing answers count as refused. An answer from another VM than the one asked is
     /// ignored; it can arrive when an address has been given to another VM.
     ///
-    /// A late answer counts from the beginning of its own round, so it never extends a lease by more
-    /// than the witness covers.
+    /// A late answer counts from the beginning of its own round, so it never extends a lease by
+    /// more than the witness covers.
     pub fn granted(&mut self, batch: &Batch, witness: &str, granted: &[bool]) {
         if batch.witness.as_str() != witness {
             return;
@@ -127,8 +127,8 @@
     /// The end of the lease on `target`, if there is one at `now`: the time until which a quorum of
     /// the witnesses' promises counts.
     ///
-    /// The result must not be kept beyond a change of the VM list, and `now` must be read just before
-    /// it is used.
+    /// The result must not be kept beyond a change of the VM list, and `now` must be read just
+    /// before it is used.
     pub fn valid_until(&self, target: &Target, now: Instant) -> Option<Instant> {
         self.claims.get(target)?.until().filter(|until| *until > now)
     }
--- a/crates/core/src/lease/mod.rs
+++ b/crates/core/src/lease/mod.rs
@@ -6,12 +6,12 @@
 //! entries have a lease at once.
 //!
 //! There is no shared clock. The claimant counts [`LIFETIME`] from before it sends a claim, and a
-//! witness keeps a promise for [`HOLD`] from after it received the claim. Clocks must count the time
-//! that a VM is suspended. They may differ in rate by as much as [`MARGIN`] allows.
+//! witness keeps a promise for [`HOLD`] from after it received the claim. Clocks must count the
+//! time that a VM is suspended. They may differ in rate by as much as [`MARGIN`] allows.
 //!
-//! Nothing is stored on disk. A witness that has started makes no promises until all promises that it
-//! may have made before have ended. A claimant that has started has a new incarnation, and witnesses
-//! treat it as another claimant, because requests sent before may still run.
+//! Nothing is stored on disk. A witness that has started makes no promises until all promises that
+//! it may have made before have ended. A claimant that has started has a new incarnation, and
+//! witnesses treat it as another claimant, because requests sent before may still run.
 //!
 //! Messages may be lost, repeated and reordered. Each carries the number of its round, which grows
 //! with each message of a claimant, so that a delayed release cannot end a newer promise.
--- a/crates/core/src/lease/promises.rs
+++ b/crates/core/src/lease/promises.rs
@@ -50,8 +50,8 @@
 
     /// Promises `target` to `claimant`, or refuses.
     ///
-    /// `now` must be read after the claim arrived: the claimant counts from before it sent the claim,
-    /// and an earlier reading could end the promise while it still counts.
+    /// `now` must be read after the claim arrived: the claimant counts from before it sent the
+    /// claim, and an earlier reading could end the promise while it still counts.
     ///
     /// A promise to another claimant or another incarnation stands until [`HOLD`] after its last
     /// renewal, unless it was released.
--- a/crates/core/src/lease/table.rs
+++ b/crates/core/src/lease/table.rs
@@ -20,8 +20,8 @@
 }
 
 impl Table {
-    /// Creates the table of the entry `name` that started at `start`. `incarnation` must differ from
-    /// that of each earlier start.
+    /// Creates the table of the entry `name` that started at `start`. `incarnation` must differ
+    /// from that of each earlier start.
     pub fn new(name: name::Vm, incarnation: u64, start: Instant) -> Self {
         let claims = Claims::new(name.clone());
         Self { name, incarnation, promises: Promises::new(start), claims }
@@ -52,7 +52,8 @@
         self.keep_others(now, batches)
     }
 
-    /// Answers a message of another entry: for each claimed server, in order, whether it is promised.
+    /// Answers a message of another entry: for each claimed server, in order, whether it is
+    /// promised.
     /// `now` must be read after the message arrived.
     pub fn answer(
         &mut self,
--- a/crates/core/src/probe/mod.rs
+++ b/crates/core/src/probe/mod.rs
@@ -1,8 +1,9 @@
 //! How often this entry may probe a server it holds.
 //!
 //! Policy limits the probes of a server from all entries together, but while entries disagree about
-//! who holds a server, two of them may probe it. Each therefore uses half of the limit. A new budget
-//! starts empty, so that a server that passes from holder to holder is not probed at each change.
+//! who holds a server, two of them may probe it. Each therefore uses half of the limit. A new
+//! budget starts empty, so that a server that passes from holder to holder is not probed at each
+//! change.
 //!
 //! Responses carry the same report as a probe at no cost. A probe is due only when the last report
 //! from either source has aged.
@@ -47,8 +48,8 @@
         }
     }
 
-    /// When the next probe is due: when a token is available and the last report is at least `fresh`
-    /// old. `None` if no probe is allowed.
+    /// When the next probe is due: when a token is available and the last report is at least
+    /// `fresh` old. `None` if no probe is allowed.
     pub fn next(&self, last_report: Option<Instant>, fresh: Duration) -> Option<Instant> {
         self.interval?;
         let aged = last_report.map_or(self.ready, |at| at + fresh);
--- a/crates/core/src/rank/table.rs
+++ b/crates/core/src/rank/table.rs
@@ -11,8 +11,8 @@
 use crate::member::Vm;
 use crate::name;
 
-/// How close an entry is to a server, closest first. It is compared before the score is computed, which
-/// spares most of the hashing.
+/// How close an entry is to a server, closest first. It is compared before the score is computed,
+/// which spares most of the hashing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Class {
     Domain,
@@ -114,8 +114,8 @@
     }
 }
 
-/// The seed of the scores for `server`. A VM that is not a server counts as one of a service with an
-/// empty name.
+/// The seed of the scores for `server`. A VM that is not a server counts as one of a service with
+/// an empty name.
 fn seed(server: &Vm) -> u64 {
     let service = match &server.role {
         Role::Server { service, .. } => service.as_str(),
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -1,7 +1,7 @@
 //! Exclusivity of leases in randomised runs over an in-memory set of entries.
 //!
-//! A run delays, loses, repeats and reorders messages, pauses and restarts entries, gives their clocks
-//! different rates, and lets their VM lists differ as far as the quorum rule allows.
+//! A run delays, loses, repeats and reorders messages, pauses and restarts entries, gives their
+//! clocks different rates, and lets their VM lists differ as far as the quorum rule allows.
 
 #![allow(clippy::unwrap_used)]
 
@@ -49,8 +49,8 @@
     RoundOfRelease,
 }
 
-/// The VM lists of a run: each names the first `common` entries as witnesses, and between `least` and
-/// `most` of the next `others`.
+/// The VM lists of a run: each names the first `common` entries as witnesses, and between `least`
+/// and `most` of the next `others`.
 #[derive(Debug, Clone, Copy)]
 struct Lists {
     common: usize,
@@ -403,8 +403,8 @@
     assert_eq!(promises.len(), 1);
 }
 
-/// Guards against renewing each server at each call, and against keeping the lease of a server whose
-/// witnesses changed by more than the quorum covers.
+/// Guards against renewing each server at each call, and against keeping the lease of a server
+/// whose witnesses changed by more than the quorum covers.
 #[test]
 fn rounds_are_spaced_and_follow_the_list() {
     let vms: Vec<_> = (0..14).map(|index| vm(&format!("e{index}"))).collect();
--- a/crates/core/tests/rank.rs
+++ b/crates/core/tests/rank.rs
@@ -160,8 +160,9 @@
     }
 }
 
-/// Guards against the check above passing for every rule: sets that differ in more witnesses than the
-/// quorum covers must have disjoint quorums. Six witnesses cover one difference more than required.
+/// Guards against the check above passing for every rule: sets that differ in more witnesses than
+/// the quorum covers must have disjoint quorums. Six witnesses cover one difference more than
+/// required.
 #[rstest]
 #[case::three(2, 1)]
 #[case::four(2, 2)]
@@ -189,8 +190,8 @@
     assert!(most <= 30, "one entry holds {most} servers");
 }
 
-/// Guards against a ranking that is too slow to repeat for each changed list. The limit is far above
-/// the usual time, because other work shares the machine; the time itself is printed.
+/// Guards against a ranking that is too slow to repeat for each changed list. The limit is far
+/// above the usual time, because other work shares the machine; the time itself is printed.
 #[test]
 fn ranking_all_servers_is_fast() {
     let all = entries(300, 11);
