document: read text from bytes, wrap comments at 100 columns

text() decodes a document and reports the place of the first byte that is not UTF-8, so that the daemon and the client need not do it apart.

--- a/crates/core/src/config/build.rs
+++ b/crates/core/src/config/build.rs
@@ -76,7 +76,8 @@
 
 /// Collects the parts of a configuration and checks each as it is added.
 ///
-/// The sets keep the checks fast for the largest document, which has room for some 20,000 exceptions.
+/// The sets keep the checks fast for the largest document, which has room for some 20,000
+/// exceptions.
 #[derive(Debug)]
 pub struct Builder {
     config: Config,
@@ -154,8 +155,8 @@
     ///
     /// # Errors
     ///
-    /// The service does not exist, the scope has an exception already, nothing is changed, a value is out of range or
-    /// does not fit the other values of a server to which the exception applies.
+    /// The service does not exist, the scope has an exception already, nothing is changed, a value
+    /// is out of range or does not fit the other values of a server to which the exception applies.
     pub fn exception(&mut self, exception: Exception) -> Result<&mut Self, Error> {
         if exception.changes == Override::default() && !exception.out {
             return Err(Error::EmptyException);
@@ -231,7 +232,8 @@
         services.try_for_each(|(name, service)| self.check_servers(name, &service.policy, domain))
     }
 
-    /// Checks values of a service in one failure domain, without and with each exception for a server.
+    /// Checks values of a service in one failure domain, without and with each exception for a
+    /// server.
     fn check_servers(
         &self,
         name: &name::Service,
@@ -249,7 +251,8 @@
     }
 }
 
-/// Rejects changes for one server or failure domain that would have to be known before a server is chosen.
+/// Rejects changes for one server or failure domain that would have to be known before a server is
+/// chosen.
 fn check_scope(exception: &Exception) -> Result<(), Error> {
     FIELDS
         .iter()
@@ -264,7 +267,8 @@
     (changes.slots, changes.connections)
 }
 
-/// Checks slots and connections of a server to which both overrides apply, the second over the first.
+/// Checks slots and connections of a server to which both overrides apply, the second over the
+/// first.
 fn check_size(policy: &Policy, first: Size, second: Size) -> Result<(), Error> {
     let slots = second.0.or(first.0).unwrap_or(policy.slots);
     let connections = second.1.or(first.1).unwrap_or(policy.connections);
--- a/crates/core/src/config/field.rs
+++ b/crates/core/src/config/field.rs
@@ -1,7 +1,9 @@
-//! The fields of a policy, by their names in the configuration document: ranges, units and what they apply to.
+//! The fields of a policy, by their names in the configuration document: ranges, units and what
+//! they apply to.
 //!
-//! This is the only place that knows the ranges. The document reader sets values through it, so that a value out of
-//! range is reported where it is written, and the builder checks complete policies with it.
+//! This is the only place that knows the ranges. The document reader sets values through it, so
+//! that a value out of range is reported where it is written, and the builder checks complete
+//! policies with it.
 
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -63,7 +65,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::RequestValue`] if the scope is a server or a failure domain and the field applies to requests.
+    /// [`Error::RequestValue`] if the scope is a server or a failure domain and the field applies
+    /// to requests.
     pub fn check_scope(&self, scope: &Scope) -> Result<(), Error> {
         match scope {
             Scope::Server(..) | Scope::Domain(..) if self.request => {
@@ -117,7 +120,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Method`] for the first method that is not in upper-case letters; nothing is changed then.
+    /// [`Error::Method`] for the first method that is not in upper-case letters; nothing is changed
+    /// then.
     pub fn set_methods(&mut self, methods: Vec<Box<str>>) -> Result<(), Error> {
         check_methods(&methods)?;
         self.idempotent_methods = Some(methods);
@@ -183,8 +187,8 @@
     }
 }
 
-/// Checks that a server accepts more connections than it runs requests: the limit of a warm server is one above its
-/// slots, and each request in flight takes a connection.
+/// Checks that a server accepts more connections than it runs requests: the limit of a warm server
+/// is one above its slots, and each request in flight takes a connection.
 pub(super) fn check_connections(slots: u32, connections: u32) -> Result<(), Error> {
     if slots < connections { Ok(()) } else { Err(Error::Connections) }
 }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,7 +1,7 @@
 //! The configuration in force: defaults, services, exceptions and failure domains out of service.
 //!
-//! Values are checked when they are built, so a [`Config`] is always valid. Its owner is the intent table; everything
-//! else reads it through shared references.
+//! Values are checked when they are built, so a [`Config`] is always valid. Its owner is the intent
+//! table; everything else reads it through shared references.
 
 mod build;
 mod explain;
@@ -86,7 +86,8 @@
 pub struct Service {
     /// Values that differ from the defaults.
     pub changes: Override,
-    /// The values for requests to the service: defaults, then `changes`, then exceptions for the service.
+    /// The values for requests to the service: defaults, then `changes`, then exceptions for the
+    /// service.
     pub policy: Policy,
     /// Paths, as prefixes, whose requests are idempotent whatever their method.
     pub idempotent_paths: Vec<Box<str>>,
@@ -138,8 +139,8 @@
         self.outages.iter().any(|outage| outage.domain == *domain)
     }
 
-    /// The values for one server: those of its service, then exceptions for its failure domain, then exceptions for
-    /// the server itself. `None` if the service does not exist.
+    /// The values for one server: those of its service, then exceptions for its failure domain,
+    /// then exceptions for the server itself. `None` if the service does not exist.
     pub fn policy(
         &self,
         service: &str,
@@ -153,7 +154,8 @@
         Some(policy)
     }
 
-    /// Why the server receives no new work, if the operators took it or its failure domain out of service.
+    /// Why the server receives no new work, if the operators took it or its failure domain out of
+    /// service.
     pub fn out_reason(
         &self,
         service: &str,
@@ -167,7 +169,8 @@
         })
     }
 
-    /// The exceptions that apply to one server, the weakest first. There is at most one for each kind of scope.
+    /// The exceptions that apply to one server, the weakest first. There is at most one for each
+    /// kind of scope.
     fn applying(
         &self,
         service: &str,
--- a/crates/document/src/config/mod.rs
+++ b/crates/document/src/config/mod.rs
@@ -1,26 +1,28 @@
 //! Reads the configuration document.
 //!
-//! The text is parsed into a tree in which each key and value knows its place (`toml::Spanned`). Each section is then
-//! read field by field: the values go through `jackdawpin_core::config::Override`, which checks ranges, and the
-//! sections through `jackdawpin_core::config::Builder`, which checks how they fit together. A faulty value is reported
-//! and left out, so that one mistake does not cause reports about sections that are right.
+//! The text is parsed into a tree in which each key and value knows its place (`toml::Spanned`).
+//! Each section is then read field by field: the values go through
+//! `jackdawpin_core::config::Override`, which checks ranges, and the sections through
+//! `jackdawpin_core::config::Builder`, which checks how they fit together. A faulty value is
+//! reported and left out, so that one mistake does not cause reports about sections that are right.
 
 mod section;
 mod table;
 
-use jackdawpin_core::config::Config;
 use toml::Spanned;
 use toml::de::DeTable;
 
 use self::table::Table;
 use crate::Faults;
 use crate::fault::Log;
+use jackdawpin_core::config::Config;
 
 /// Reads a configuration.
 ///
 /// # Errors
 ///
-/// All faults that can be found in one pass. If the text is too large or not TOML, only the faults of syntax.
+/// All faults that can be found in one pass. If the text is too large or not TOML, only the faults
+/// of syntax.
 pub fn read(text: &str) -> Result<Config, Faults> {
     let mut log = Log::new(text);
     let config =
@@ -28,8 +30,8 @@
     log.finish(config)
 }
 
-/// Parses the text. Returns no tree if there is any fault: the values around broken syntax are guesses, and faults
-/// found in them would mislead.
+/// Parses the text. Returns no tree if there is any fault: the values around broken syntax are
+/// guesses, and faults found in them would mislead.
 fn parse<'t>(text: &'t str, log: &mut Log<'_>) -> Option<Spanned<DeTable<'t>>> {
     if log.len() > 0 {
         return None;
--- a/crates/document/src/config/section.rs
+++ b/crates/document/src/config/section.rs
@@ -1,3 +1,6 @@
+use super::table::Item;
+use super::table::Table;
+use crate::fault::Log;
 use jackdawpin_core::config::Builder;
 use jackdawpin_core::config::Config;
 use jackdawpin_core::config::Error;
@@ -11,10 +14,6 @@
 use jackdawpin_core::config::Scope;
 use jackdawpin_core::name;
 
-use super::table::Item;
-use super::table::Table;
-use crate::fault::Log;
-
 const ROOT_FIELDS: &[&str] = &["revision", "defaults", "service", "exception", "out"];
 const SERVICE_FIELDS: &[&str] = &["name", "idempotent_paths"];
 const EXCEPTION_FIELDS: &[&str] = &["service", "server", "domain", "out", "reason"];
@@ -36,7 +35,8 @@
     builder.build()
 }
 
-/// Reads the revision and the defaults. Faulty ones are replaced, so that the other sections can still be checked.
+/// Reads the revision and the defaults. Faulty ones are replaced, so that the other sections can
+/// still be checked.
 fn start(root: &Table<'_>, log: &mut Log<'_>) -> Builder {
     let revision = revision(root, log).unwrap_or(1);
     let defaults = defaults(root, log).unwrap_or_default();
@@ -75,8 +75,8 @@
     let Some(name) = name else { return };
     if let Err(error) = builder.service(name.clone(), changes, paths) {
         report(table, &error, log);
-        // Exceptions may refer to the service even though its values do not fit together. This fails only if the
-        // service exists already, which is reported.
+        // Exceptions may refer to the service even though its values do not fit together. This
+        // fails only if the service exists already, which is reported.
         let _ = builder.service(name, Override::default(), Vec::new());
     }
 }
--- a/crates/document/src/config/table.rs
+++ b/crates/document/src/config/table.rs
@@ -76,7 +76,8 @@
         }
     }
 
-    /// The elements of the value, an array as described by `expected`; their numbers in paths count from 1.
+    /// The elements of the value, an array as described by `expected`; their numbers in paths count
+    /// from 1.
     pub(super) fn array(&self, expected: &str, log: &mut Log<'_>) -> Option<Vec<Item<'a>>> {
         match self.value {
             DeValue::Array(elements) => {
--- a/crates/document/src/fault.rs
+++ b/crates/document/src/fault.rs
@@ -5,7 +5,8 @@
 /// Name of the field in faults that concern the document as a whole.
 const DOCUMENT: &str = "document";
 
-/// Faults that [`Faults`] prints; the rest is only counted, because the text goes into events and status messages.
+/// Faults that [`Faults`] prints; the rest is only counted, because the text goes into events and
+/// status messages.
 const MAX_PRINTED: usize = 8;
 
 /// One fault and its place.
@@ -15,7 +16,8 @@
     pub line: usize,
     /// Column in characters, from 1.
     pub column: usize,
-    /// The field, with the number from 1 of each array element on the way to it: `exception[2].reason`.
+    /// The field, with the number from 1 of each array element on the way to it:
+    /// `exception[2].reason`.
     pub field: String,
     /// What is wrong.
     pub reason: String,
@@ -81,7 +83,8 @@
         self.add_at(line, column, field, reason);
     }
 
-    /// Adds a fault of the document as a whole, such as broken syntax, that was noticed at a byte offset.
+    /// Adds a fault of the document as a whole, such as broken syntax, that was noticed at a byte
+    /// offset.
     pub(crate) fn whole(&mut self, offset: usize, reason: impl ToString) {
         self.add(offset, DOCUMENT, reason);
     }
@@ -111,14 +114,19 @@
     /// # Errors
     ///
     /// The faults, if there are any.
-    pub(crate) fn finish<T>(mut self, value: Option<T>) -> Result<T, Faults> {
-        self.faults.sort();
+    pub(crate) fn finish<T>(self, value: Option<T>) -> Result<T, Faults> {
         match value {
             Some(value) if self.faults.is_empty() => Ok(value),
-            _ => Err(Faults(self.faults)),
+            _ => Err(self.faults()),
         }
     }
 
+    /// Ends the log of a document that has faults.
+    pub(crate) fn faults(mut self) -> Faults {
+        self.faults.sort();
+        Faults(self.faults)
+    }
+
     fn place(&self, offset: usize) -> (usize, usize) {
         let line = self.lines.partition_point(|start| *start <= offset);
         let start = self.lines.get(line - 1).copied().unwrap_or(0);
--- a/crates/document/src/vms/json.rs
+++ b/crates/document/src/vms/json.rs
@@ -6,9 +6,8 @@
 use serde::de::Visitor;
 use serde_json::value::RawValue;
 
-use jackdawpin_core::name;
-
 use crate::fault::Log;
+use jackdawpin_core::name;
 
 /// A value with its place and the path of its field.
 #[derive(Debug)]
--- a/crates/document/src/vms/mod.rs
+++ b/crates/document/src/vms/mod.rs
@@ -1,14 +1,19 @@
 //! Reads the VM list.
 //!
-//! JSON values are first split into raw parts of the text (`serde_json::value::RawValue`), whose addresses give the
-//! place of each fault, and each part is then read on its own. All known fields are mandatory for their role; fields
-//! that are not known are ignored, because the list belongs to the platform, which may add some.
+//! JSON values are first split into raw parts of the text (`serde_json::value::RawValue`), whose
+//! addresses give the place of each fault, and each part is then read on its own. All known fields
+//! are mandatory for their role; fields that are not known are ignored, because the list belongs to
+//! the platform, which may add some.
 
 mod json;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use self::json::Item;
+use self::json::Object;
+use crate::Faults;
+use crate::fault::Log;
 use jackdawpin_core::member::Error;
 use jackdawpin_core::member::List;
 use jackdawpin_core::member::Role;
@@ -16,16 +21,12 @@
 use jackdawpin_core::member::Vm;
 use jackdawpin_core::name;
 
-use self::json::Item;
-use self::json::Object;
-use crate::Faults;
-use crate::fault::Log;
-
 /// Reads a VM list.
 ///
 /// # Errors
 ///
-/// All faults that can be found in one pass. If the text is too large or not JSON, only the first fault of syntax.
+/// All faults that can be found in one pass. If the text is too large or not JSON, only the first
+/// fault of syntax.
 pub fn read(text: &str) -> Result<List, Faults> {
     let mut log = Log::new(text);
     let list = json::parse(text, &mut log).and_then(|root| list(&root, &mut log));
--- a/crates/document/tests/config.rs
+++ b/crates/document/tests/config.rs
@@ -1,9 +1,5 @@
 //! Reading of configuration documents.
 
-use jackdawpin_core::name;
-use jackdawpin_document::Faults;
-use jackdawpin_document::MAX_SIZE;
-use jackdawpin_document::config;
 use proptest::prelude::*;
 use proptest::test_runner::Config as RunnerConfig;
 use proptest::test_runner::RngAlgorithm;
@@ -11,12 +7,18 @@
 use proptest::test_runner::TestRunner;
 use rstest::rstest;
 
+use jackdawpin_core::name;
+use jackdawpin_document::Faults;
+use jackdawpin_document::MAX_SIZE;
+use jackdawpin_document::config;
+
 fn faults(text: &str) -> Vec<String> {
     let faults = config::read(text).err();
     faults.iter().flat_map(Faults::iter).map(ToString::to_string).collect()
 }
 
-/// Guards against faults that go unnoticed, and against reports that name the wrong place, field or reason.
+/// Guards against faults that go unnoticed, and against reports that name the wrong place, field or
+/// reason.
 #[rstest]
 #[case::empty("", "line 1, column 1, revision: the field is missing")]
 #[case::revision("revision = 0", "line 1, column 12, revision: revision must be at least 1")]
@@ -110,8 +112,8 @@
     assert_eq!(faults(text).join("|"), expected);
 }
 
-/// Guards against a combination of exceptions that leaves a server with no connection to spare, although each of them
-/// fits the service on its own, in any order of the document.
+/// Guards against a combination of exceptions that leaves a server with no connection to spare,
+/// although each of them fits the service on its own, in any order of the document.
 #[rstest]
 #[case::domain_over_service(
     "domain = \"e\"\nslots = 10",
@@ -142,8 +144,8 @@
     assert_eq!(faults(&both), [expected]);
 }
 
-/// Guards against a reader that stops at the first fault, or that reports sections that are right because of a fault
-/// elsewhere.
+/// Guards against a reader that stops at the first fault, or that reports sections that are right
+/// because of a fault elsewhere.
 #[test]
 fn all_faults_at_once() {
     let text = "revision = 0
@@ -192,7 +194,8 @@
     assert_eq!(faults(&format!("{largest}x")), [expected]);
 }
 
-/// Guards against examples that operators cannot use, and values that end up in the wrong field or scope.
+/// Guards against examples that operators cannot use, and values that end up in the wrong field or
+/// scope.
 #[test]
 fn examples() {
     let colavale = include_str!("../../../examples/colavale.toml");
--- a/crates/document/tests/vms.rs
+++ b/crates/document/tests/vms.rs
@@ -1,16 +1,19 @@
 //! Reading of VM lists.
 
-use jackdawpin_core::member::Role;
-use jackdawpin_core::member::State;
-use jackdawpin_document::digest;
-use jackdawpin_document::vms;
 use proptest::test_runner::Config as RunnerConfig;
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
 use rstest::rstest;
 
-/// Guards against faults that go unnoticed, and against reports that name the wrong place, field or reason.
+use jackdawpin_core::member::Role;
+use jackdawpin_core::member::State;
+use jackdawpin_document::digest;
+use jackdawpin_document::text;
+use jackdawpin_document::vms;
+
+/// Guards against faults that go unnoticed, and against reports that name the wrong place, field or
+/// reason.
 #[rstest]
 #[case::empty("", "line 1, column 1, document: EOF while parsing a value")]
 #[case::syntax("{\"version\": 1,\n \"vms\": [}", "line 2, column 10, document: expected value")]
@@ -60,7 +63,8 @@
     assert_eq!(faults.to_string(), "line 3, column 10, vms[2].name: VM a appears twice");
 }
 
-/// Guards against fields that end up in the wrong place, and against refusing fields that the platform adds.
+/// Guards against fields that end up in the wrong place, and against refusing fields that the
+/// platform adds.
 #[test]
 fn page() {
     let page = include_str!("../../../docs/configuration.md");
@@ -76,7 +80,17 @@
     assert_eq!((server.state, server.domain.as_str()), (State::Leaving, "fd-a"));
 }
 
-/// Guards against a digest that differs from the published algorithm, and thus between versions of the program.
+/// Guards against a document that is read although it is not UTF-8, and a report without the place.
+#[test]
+fn encoding() {
+    let faults = text("{\n\"é".as_bytes()).err();
+    assert_eq!(faults, None);
+    let faults = text(b"{\n\"\xc3\xa9\xff").expect_err("not UTF-8");
+    assert_eq!(faults.to_string(), "line 2, column 3, document: the text is not UTF-8");
+}
+
+/// Guards against a digest that differs from the published algorithm, and thus between versions of
+/// the program.
 #[test]
 fn digest_of_nothing() {
     assert_eq!(digest(b""), 0x2d06_8005_38d3_94c2);
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -42,8 +42,8 @@
 pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Error> {
     let mut deserializer = rmp_serde::Deserializer::from_read_ref(bytes);
     let message = T::deserialize(&mut deserializer)?;
-    // The deserializer does not tell how much it has read. Another value can be read only if bytes are left, and
-    // reading a unit looks at no more than the first of them.
+    // The deserializer does not tell how much it has read. Another value can be read only if bytes
+    // are left, and reading a unit looks at no more than the first of them.
     match <()>::deserialize(&mut deserializer) {
         Err(rmp_serde::decode::Error::InvalidMarkerRead(_)) => Ok(message),
         _ => Err(Error::Trailing),
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -8,7 +8,8 @@
 use jackdawpin_wire::decode;
 use jackdawpin_wire::encode;
 
-/// Guards against a message that its own encoding cannot be read back from, and against copies of the body.
+/// Guards against a message that its own encoding cannot be read back from, and against copies of
+/// the body.
 #[test]
 fn round_trip() {
     let forward = Forward {
@@ -26,7 +27,8 @@
     assert_eq!(decode::<Forward<'_>>(&bytes).expect("a message"), forward);
 }
 
-/// Guards against a message that is cut short, and against one that is accepted together with bytes of another.
+/// Guards against a message that is cut short, and against one that is accepted together with bytes
+/// of another.
 #[test]
 fn wrong_length() {
     let order = Order { number: 7, digest: u64::MAX };
