Add the operators' client

The commands check, status, explain, timeline and top ask entries on their control addresses. One reachable address is enough, because a status answer names the other entries. Entries that give no answer are listed with the reason, and the exit code says what the view lacks: warnings (1) go before unreachable entries (3), because they are known to be true.

Commands are generic over the port ask::Ask. Joining answers (fleet) and rendering (view) are pure functions with golden files of whole outputs; a loopback listener with canned messages covers HTTP, learning of entries, unreachable entries, the follow mode and the exit codes.

chrono formats and reads times.

--- /dev/null
+++ b/crates/client/src/settings/arguments.rs
@@ -0,0 +1,70 @@
+use gumdrop::Options;
+
+use super::Error;
+
+/// The arguments as given. Every option may stand before or after the command.
+#[derive(Debug, Default, Options)]
+pub struct Arguments {
+    /// The command and its arguments.
+    #[options(free)]
+    pub words: Vec<String>,
+    /// Print the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Print the version.
+    #[options(no_short, help = "print the version")]
+    pub version: bool,
+    /// Entries to ask.
+    #[options(
+        no_short,
+        meta = "HOST:PORT,...",
+        help = "control addresses to ask first; others are learned (JACKDAWPIN_ENTRIES)"
+    )]
+    pub entries: Vec<String>,
+    /// Time for one question to one entry, in milliseconds.
+    #[options(no_short, meta = "N", help = "time for one question to one entry (2000)")]
+    pub timeout_ms: Option<u64>,
+    /// Print JSON.
+    #[options(no_short, help = "print JSON; one object per line where output goes on")]
+    pub json: bool,
+    /// The document is a VM list.
+    #[options(no_short, help = "check: the file is a VM list")]
+    pub vms: bool,
+    /// Kinds of event.
+    #[options(no_short, meta = "KIND,...", help = "timeline: only events of these kinds")]
+    pub kind: Vec<String>,
+    /// Service of events.
+    #[options(no_short, meta = "NAME", help = "timeline: only events about this service")]
+    pub service: Option<String>,
+    /// VM of events.
+    #[options(no_short, meta = "NAME", help = "timeline: only events on or about this VM")]
+    pub vm: Option<String>,
+    /// The earliest event.
+    #[options(no_short, meta = "TIME", help = "timeline: only later events; 10m or a UTC time")]
+    pub since: Option<String>,
+    /// Go on with new events.
+    #[options(no_short, help = "timeline: go on with new events")]
+    pub follow: bool,
+    /// Stop after the first view.
+    #[options(no_short, help = "top: print once")]
+    pub once: bool,
+}
+
+impl Arguments {
+    /// Checks that each option that is given belongs to the command.
+    pub(super) fn check_options(&self, command: &str) -> Result<(), Error> {
+        let options = [
+            ("vms", "check", self.vms),
+            ("kind", "timeline", !self.kind.is_empty()),
+            ("service", "timeline", self.service.is_some()),
+            ("vm", "timeline", self.vm.is_some()),
+            ("since", "timeline", self.since.is_some()),
+            ("follow", "timeline", self.follow),
+            ("once", "top", self.once),
+        ];
+        match options.iter().find(|(_, owner, given)| *given && *owner != command) {
+            Some((option, _, _)) => Err(Error::Option(option, command.to_owned())),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/client/tests/loopback.rs
@@ -0,0 +1,258 @@
+//! The whole client against canned messages on a loopback HTTP listener.
+
+mod common;
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::io;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use rstest::rstest;
+use tokio::net::TcpListener;
+
+use crate::common::entry;
+use crate::common::event;
+use crate::common::explanation;
+use crate::common::page;
+use crate::common::status;
+use jackdawpin_client::Exit;
+use jackdawpin_client::Surroundings;
+use jackdawpin_wire::Status;
+use jackdawpin_wire::path;
+
+/// Answers as an entry with the given status would.
+fn answer(status: &Status, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let vm = status.vm.as_str();
+    let query = request.uri().query().unwrap_or_default();
+    let message = match (request.uri().path(), query) {
+        (path::STATUS, _) => jackdawpin_wire::encode(status),
+        (path::TIMELINE, "after=0") => {
+            jackdawpin_wire::encode(&page(vm, 2, vec![event(3, 10, "cold", None)]))
+        }
+        (path::TIMELINE, _) => jackdawpin_wire::encode(&page(vm, 0, Vec::new())),
+        (path::EXPLAIN, "service=alerts&server=alerts-17") => {
+            jackdawpin_wire::encode(&explanation(Some("entry-1")))
+        }
+        _ => {
+            let mut response = Response::new(Full::from("not known"));
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return response;
+        }
+    };
+    Response::new(Full::from(message.unwrap_or_default()))
+}
+
+async fn serve(listener: TcpListener, status: Status) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let status = status.clone();
+        let service = service_fn(move |request| {
+            let response = answer(&status, &request);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
+
+async fn listen() -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+/// Runs the client against two entries, of which only the first is named, and one that nobody
+/// listens for.
+async fn run(
+    line: &str,
+    change: fn(&mut Status, &mut Status),
+) -> Result<(Exit, String, String), Box<dyn Error>> {
+    let (first_listener, first_address) = listen().await?;
+    let (second_listener, second_address) = listen().await?;
+    let (closed, closed_address) = listen().await?;
+    drop(closed);
+    let (mut first, mut second) = (status("entry-1"), status("entry-2"));
+    first.entries = vec![
+        entry("entry-2", &second_address.to_string()),
+        entry("entry-3", &closed_address.to_string()),
+    ];
+    change(&mut first, &mut second);
+    tokio::spawn(serve(first_listener, first));
+    tokio::spawn(serve(second_listener, second));
+    let line = line.replace("FIRST", &first_address.to_string());
+    let line = line.replace("CLOSED", &closed_address.to_string());
+    let words = line.split_whitespace().map(Into::into).collect();
+    let surroundings = Surroundings { words, ..Default::default() };
+    let (exit, out, errors) = tokio::task::spawn_blocking(move || {
+        let (mut out, mut errors) = (Vec::new(), Vec::new());
+        let exit = jackdawpin_client::run(surroundings, &mut out, &mut errors);
+        (exit, out, errors)
+    })
+    .await?;
+    let text = |bytes: Vec<u8>| {
+        let text = String::from_utf8_lossy(&bytes);
+        text.replace(&closed_address.to_string(), "CLOSED")
+    };
+    Ok((exit, text(out), text(errors)))
+}
+
+fn keep(_: &mut Status, _: &mut Status) {}
+
+fn forget_third(first: &mut Status, _: &mut Status) {
+    first.entries.truncate(1);
+}
+
+fn fence(first: &mut Status, second: &mut Status) {
+    forget_third(first, second);
+    second.fenced = true;
+}
+
+fn disagree(_: &mut Status, second: &mut Status) {
+    second.config = Some(common::order(43));
+}
+
+const LOST: &str = "jackdawpin: 1 of 3 entries cannot be reached\n";
+
+/// Guards against unreachable entries that are hidden, entries that are not learned, and wrong exit
+/// codes.
+#[rstest]
+#[case::fine("status --entries FIRST", forget_third, Exit::Fine, "entry-2  fd-a", "")]
+#[case::partial("status --entries FIRST", keep, Exit::Partial, "entry-3      CLOSED", LOST)]
+#[case::fenced("status --entries FIRST", fence, Exit::Failed, "entry-2 is fenced", "")]
+#[case::disagree(
+    "status --entries FIRST",
+    disagree,
+    Exit::Failed,
+    "43 (fedcba987654323b) on entry-2; 42",
+    LOST
+)]
+#[case::nobody(
+    "status --entries CLOSED",
+    keep,
+    Exit::Unreachable,
+    "CLOSED  Connection refused",
+    "jackdawpin: 1 of 1 entries cannot be reached\n"
+)]
+#[case::timeline(
+    "timeline --entries FIRST",
+    keep,
+    Exit::Partial,
+    "entry-2 has dropped 2 earlier",
+    LOST
+)]
+#[case::json(
+    "timeline --json --entries FIRST",
+    keep,
+    Exit::Partial,
+    "\"address\": \"CLOSED\"",
+    LOST
+)]
+#[case::explain(
+    "explain alerts alerts-17 --entries FIRST",
+    keep,
+    Exit::Partial,
+    "Older VM type.",
+    LOST
+)]
+#[case::unknown(
+    "explain alerts alerts-9 --entries FIRST",
+    forget_third,
+    Exit::Failed,
+    "warning: no entry knows server alerts-9 of service alerts",
+    ""
+)]
+#[case::top("top --once --entries FIRST", forget_third, Exit::Fine, "2 of 2 entries reached", "")]
+#[case::usage("status --entries x", keep, Exit::Usage, "", "jackdawpin: \"x\" is not HOST:PORT\n")]
+#[tokio::test]
+async fn exit_codes(
+    #[case] line: &str,
+    #[case] change: fn(&mut Status, &mut Status),
+    #[case] expected: Exit,
+    #[case] part: &str,
+    #[case] expected_errors: &str,
+) {
+    let (exit, out, errors) = run(line, change).await.expect("the client does not panic");
+    assert_eq!((exit, errors.as_str()), (expected, expected_errors), "{out}");
+    assert!(out.contains(part), "{out}");
+}
+
+/// Guards against an entry that accepts the connection and never answers, and against answers that
+/// are no messages.
+#[tokio::test]
+async fn no_answer() {
+    let (silent, address) = listen().await.expect("a loopback port");
+    let line = format!("status --timeout-ms 50 --entries {address}");
+    let (exit, out, _) = run(&line, keep).await.expect("the client does not panic");
+    drop(silent);
+    assert_eq!(exit, Exit::Unreachable);
+    assert!(out.contains("no answer within 50 ms"), "{out}");
+}
+
+/// Keeps what is written and fails like a pipe whose reader is gone when it has been flushed often
+/// enough.
+struct Pipe {
+    written: Arc<Mutex<Vec<u8>>>,
+    flushes: u32,
+}
+
+impl Write for Pipe {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut written = self.written.lock().map_err(|_| io::ErrorKind::Other)?;
+        written.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.flushes = self.flushes.checked_sub(1).ok_or(io::ErrorKind::BrokenPipe)?;
+        Ok(())
+    }
+}
+
+/// Guards against a follow mode that prints an event or an unreachable entry with each poll, and
+/// against an error when the reader of the output is gone.
+#[tokio::test]
+async fn follow() {
+    let (listener, address) = listen().await.expect("a loopback port");
+    let (closed, closed_address) = listen().await.expect("a loopback port");
+    drop(closed);
+    tokio::spawn(serve(listener, status("entry-1")));
+    let entries = format!("{address},{closed_address}");
+    let words = ["timeline", "--follow", "--entries", &entries].map(Into::into).into();
+    let surroundings = Surroundings { words, ..Default::default() };
+    let written = Arc::new(Mutex::new(Vec::new()));
+    // Each poll flushes twice, so the third one finds the pipe closed.
+    let mut pipe = Pipe { written: written.clone(), flushes: 4 };
+    let run = move || jackdawpin_client::run(surroundings, &mut pipe, &mut io::sink());
+    let exit = tokio::task::spawn_blocking(run).await.expect("the client does not panic");
+    let text = String::from_utf8(written.lock().expect("no panic").clone()).expect("UTF-8");
+    assert_eq!(exit, Exit::Fine);
+    assert_eq!(text.matches("event cold").count(), 1, "{text}");
+    assert_eq!(text.matches("cannot be reached").count(), 1, "{text}");
+    assert_eq!(text.lines().count(), 3, "{text}");
+}
+
+/// Guards against a check that accepts a faulty file, hides faults or uses the wrong exit code.
+#[rstest]
+#[case::valid("check ../../examples/colavale.toml", Exit::Fine, "services: 2, exceptions: 1")]
+#[case::wrong_kind(
+    "check --vms ../../examples/colavale.toml",
+    Exit::Failed,
+    "line 1, column 1, document: "
+)]
+#[case::json("check --json Cargo.toml", Exit::Failed, "\"field\": \"revision\"")]
+#[case::missing("check no-such-file", Exit::Usage, "")]
+#[tokio::test]
+async fn check(#[case] line: &str, #[case] expected: Exit, #[case] part: &str) {
+    let (exit, out, _) = run(line, keep).await.expect("the client does not panic");
+    assert_eq!(exit, expected, "{out}");
+    assert!(out.contains(part), "{out}");
+}
