document: check the rest of a section whose reason is missing

A missing reason hid that the service of the exception does not exist, and an exception whose only change was faulty hid it as well, because the builder looked for changes first.

--- a/crates/core/src/config/build.rs
+++ b/crates/core/src/config/build.rs
@@ -158,12 +158,15 @@
     /// The service does not exist, the scope has an exception already, nothing is changed, a value
     /// is out of range or does not fit the other values of a server to which the exception applies.
     pub fn exception(&mut self, exception: Exception) -> Result<&mut Self, Error> {
-        if exception.changes == Override::default() && !exception.out {
-            return Err(Error::EmptyException);
+        if let Scope::Service(name) | Scope::Server(name, _) = &exception.scope {
+            self.known(name)?;
         }
         if self.scopes.contains(&exception.scope) {
             return Err(Error::DuplicateException);
         }
+        if exception.changes == Override::default() && !exception.out {
+            return Err(Error::EmptyException);
+        }
         check_scope(&exception)?;
         match &exception.scope {
             Scope::Service(name) => {
--- a/crates/document/src/config/section.rs
+++ b/crates/document/src/config/section.rs
@@ -104,7 +104,7 @@
     let scope = scope(table, log);
     let changes = values(table, scope.as_ref(), log);
     let out = table.get("out").and_then(|item| item.flag(log)).unwrap_or(false);
-    let reason = reason(table, log);
+    let reason = reason(table, log).or_else(placeholder);
     let (Some(scope), Some(reason)) = (scope, reason) else { return };
     let result = builder.exception(Exception { scope, changes, out, reason }).map(|_| ());
     match result {
@@ -138,7 +138,7 @@
 fn outage(table: &Table<'_>, builder: &mut Builder, log: &mut Log<'_>) {
     reject_unknown(table, OUT_FIELDS, false, log);
     let domain = table.require("domain", log).and_then(|item| item.checked::<name::Domain>(log));
-    let reason = reason(table, log);
+    let reason = reason(table, log).or_else(placeholder);
     let (Some(domain), Some(reason)) = (domain, reason) else { return };
     if let Err(error) = builder.outage(Outage { domain, reason }) {
         report(table, &error, log);
@@ -155,6 +155,11 @@
     }
 }
 
+/// Stands for a reason whose absence is reported, so that the rest of the section can be checked.
+fn placeholder() -> Option<Reason> {
+    Reason::try_from("missing").ok()
+}
+
 /// Reads the values of a table. In an exception, `scope` decides which values may be changed.
 fn values(table: &Table<'_>, scope: Option<&Scope>, log: &mut Log<'_>) -> Override {
     let mut changes = Override::default();
--- a/crates/document/tests/config.rs
+++ b/crates/document/tests/config.rs
@@ -168,6 +168,7 @@
         "line 3, column 9, defaults.slots: slots is 0, allowed is 1 to 1000",
         "line 6, column 9, service[1].queue: -1 is not a whole number of 64 bits without sign",
         "line 9, column 12, exception[1].attempts: attempts is 99, allowed is 1 to 10",
+        "line 12, column 11, exception[2].service: service b does not exist",
         "line 13, column 7, exception[2].out: expected true or false, found string",
         "line 14, column 10, exception[2].reason: a reason is mandatory and must not be blank",
     ];
