--- a/crates/core/src/member/peers/view.rs
+++ b/crates/core/src/member/peers/view.rs
@@ -31,7 +31,8 @@
     pub met: usize,
     /// How many of them were neither heard nor tried since the start.
     pub untried: usize,
-    /// The latest time such that more than half of them were heard then or later.
+    /// The latest time such that a majority of the listed live entries, this one included, was heard
+    /// then or later. `None` if there are no others.
     pub most_heard: Option<Instant>,
 }
 
@@ -106,8 +107,9 @@
         drop(state);
         contact.met = heard.len();
         heard.sort_unstable_by_key(|heard| Reverse(*heard));
-        // The first index at which more than half are at least as late.
-        contact.most_heard = heard.get(contact.others / 2).copied();
+        // This entry hears itself, so a majority needs this many of the others.
+        let needed = contact.others.div_ceil(2);
+        contact.most_heard = heard.get(needed.wrapping_sub(1)).copied();
         contact
     }
 
--- a/crates/document/src/config/section.rs
+++ b/crates/document/src/config/section.rs
@@ -1,3 +1,6 @@
+use super::table::Item;
+use super::table::Table;
+use crate::fault::Log;
 use jackdawpin_core::config::Builder;
 use jackdawpin_core::config::Config;
 use jackdawpin_core::config::Error;
@@ -11,10 +14,6 @@
 use jackdawpin_core::config::Scope;
 use jackdawpin_core::name;
 
-use super::table::Item;
-use super::table::Table;
-use crate::fault::Log;
-
 const ROOT_FIELDS: &[&str] = &["revision", "defaults", "service", "exception", "out"];
 const SERVICE_FIELDS: &[&str] = &["name", "idempotent_paths"];
 const EXCEPTION_FIELDS: &[&str] = &["service", "server", "domain", "out", "reason"];
@@ -36,7 +35,8 @@
     builder.build()
 }
 
-/// Reads the revision and the defaults. Faulty ones are replaced, so that the other sections can still be checked.
+/// Reads the revision and the defaults. Faulty ones are replaced, so that the other sections can
+/// still be checked.
 fn start(root: &Table<'_>, log: &mut Log<'_>) -> Builder {
     let revision = revision(root, log).unwrap_or(1);
     let defaults = defaults(root, log).unwrap_or_default();
@@ -75,8 +75,8 @@
     let Some(name) = name else { return };
     if let Err(error) = builder.service(name.clone(), changes, paths) {
         report(table, &error, log);
-        // Exceptions may refer to the service even though its values do not fit together. This fails only if the
-        // service exists already, which is reported.
+        // Exceptions may refer to the service even though its values do not fit together. This
+        // fails only if the service exists already, which is reported.
         let _ = builder.service(name, Override::default(), Vec::new());
     }
 }
@@ -104,7 +104,7 @@
     let scope = scope(table, log);
     let changes = values(table, scope.as_ref(), log);
     let out = table.get("out").and_then(|item| item.flag(log)).unwrap_or(false);
-    let reason = reason(table, log);
+    let reason = reason(table, log).or_else(placeholder);
     let (Some(scope), Some(reason)) = (scope, reason) else { return };
     let result = builder.exception(Exception { scope, changes, out, reason }).map(|_| ());
     match result {
@@ -138,7 +138,7 @@
 fn outage(table: &Table<'_>, builder: &mut Builder, log: &mut Log<'_>) {
     reject_unknown(table, OUT_FIELDS, false, log);
     let domain = table.require("domain", log).and_then(|item| item.checked::<name::Domain>(log));
-    let reason = reason(table, log);
+    let reason = reason(table, log).or_else(placeholder);
     let (Some(domain), Some(reason)) = (domain, reason) else { return };
     if let Err(error) = builder.outage(Outage { domain, reason }) {
         report(table, &error, log);
@@ -155,6 +155,11 @@
     }
 }
 
+/// Stands for a reason whose absence is reported, so that the rest of the section can be checked.
+fn placeholder() -> Option<Reason> {
+    Reason::try_from("missing").ok()
+}
+
 /// Reads the values of a table. In an exception, `scope` decides which values may be changed.
 fn values(table: &Table<'_>, scope: Option<&Scope>, log: &mut Log<'_>) -> Override {
     let mut changes = Override::default();
