testkit: keep server ledgers in journals and test the stand-ins

A ledger in memory is gone when its server is killed, restarted or drained, so the check for lost and doubled requests would have been partial. Each start, overrun and arrival while draining is written to a file before the work goes on.

A randomised test of the server's model found that requests lost in an overrun, but not yet taken off, counted as load and made the server fall over again; they no longer count. Pausing a process now waits until it has stopped: once in a few runs it answered just after the signal.

--- a/crates/testkit/examples/server.rs
+++ b/crates/testkit/examples/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use jackdawpin_testkit::http::Limits;
+use jackdawpin_testkit::server::Journal;
 use jackdawpin_testkit::server::Options;
 use jackdawpin_testkit::server::Service;
 use jackdawpin_testkit::server::Work;
@@ -55,6 +57,8 @@
     probe_ms: u64,
     #[options(help = "bytes added to each answer", default = "0")]
     padding: usize,
+    #[options(help = "file to which the ledger is written", meta = "FILE")]
+    journal: Option<PathBuf>,
     #[options(help = "shortest time between SIGTERM and the exit", default = "1000")]
     drain_ms: u64,
 }
@@ -100,6 +104,9 @@
     let cancel = CancellationToken::new();
     let probe_cost = Duration::from_millis(flags.probe_ms);
     let service = Service::with_costs(flags.options(), probe_cost, flags.padding);
+    if let Some(file) = &flags.journal {
+        service.set_journal(Journal::open(file)?);
+    }
     let running = service.start(listen, flags.limits(), &cancel).await?;
     eprintln!("server {}: listening on {}", flags.name, running.address);
     signal(SignalKind::terminate())?.recv().await;
--- a/crates/testkit/src/caller/audit.rs
+++ b/crates/testkit/src/caller/audit.rs
@@ -12,6 +12,7 @@
 use crate::http::fetch;
 use crate::server::Counts;
 use crate::server::Entry;
+use crate::server::Ledger;
 
 /// Time for a server to send its ledger.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
@@ -68,6 +69,12 @@
     pub named: Vec<String>,
 }
 
+impl From<&Ledger> for ServerLedger {
+    fn from(ledger: &Ledger) -> Self {
+        Self { counts: ledger.counts.clone(), entries: ledger.entries().collect() }
+    }
+}
+
 impl Audit {
     /// Compares the records of callers with the ledgers of all servers.
     ///
--- a/crates/testkit/src/fleet/launch.rs
+++ b/crates/testkit/src/fleet/launch.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::path::Path;
 
 use super::Documents;
 use super::Layout;
@@ -16,8 +17,15 @@
 }
 
 /// Arguments of a server.
-pub fn server(vm: &Vm, address: SocketAddr, service: &Service, seed: u64) -> Vec<String> {
+pub fn server(
+    vm: &Vm,
+    address: SocketAddr,
+    service: &Service,
+    seed: u64,
+    journal: &Path,
+) -> Vec<String> {
     let mut arguments = vec![
+        format!("--journal={}", journal.display()),
         format!("--listen={address}"),
         format!("--name={}", vm.name),
         format!("--seed={seed}"),
--- a/crates/testkit/src/fleet/process.rs
+++ b/crates/testkit/src/fleet/process.rs
@@ -12,12 +12,18 @@
 use quick_error::ResultExt;
 use rustix::process::Pid;
 use rustix::process::Signal;
+use rustix::process::WaitId;
+use rustix::process::WaitIdOptions;
 use rustix::process::kill_process;
+use rustix::process::waitid;
 
 use super::Error;
 
 /// How often a process is asked whether it ended, or a listener whether it is there.
 const POLL: Duration = Duration::from_millis(10);
+/// Time for a process to stop after SIGSTOP, and how often it is looked at.
+const PAUSE_LIMIT: Duration = Duration::from_secs(5);
+const PAUSE_POLL: Duration = Duration::from_millis(1);
 /// Bytes from the end of a log that go into an error.
 const LOG_TAIL: usize = 2_000;
 
@@ -72,6 +78,30 @@
         sent.map_err(|err| Error::Io(format!("signalling {}", self.name), err.into()))
     }
 
+    /// Pauses the process and waits until it has stopped: some of its threads may run on for a moment after the
+    /// signal was sent.
+    ///
+    /// # Errors
+    ///
+    /// The process has ended, or does not stop within 5 s.
+    pub async fn pause(&mut self) -> Result<(), Error> {
+        self.signal(Signal::STOP)?;
+        let end = Instant::now() + PAUSE_LIMIT;
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::NOHANG;
+        loop {
+            let state = waitid(WaitId::Pid(Pid::from_child(&self.child)), options);
+            let state =
+                state.map_err(|err| Error::Io(format!("pausing {}", self.name), err.into()))?;
+            if state.is_some_and(|state| state.stopped()) {
+                return Ok(());
+            }
+            if Instant::now() >= end {
+                return Err(Error::Late(format!("the pause of {}", self.name), PAUSE_LIMIT));
+            }
+            tokio::time::sleep(PAUSE_POLL).await;
+        }
+    }
+
     /// How the process ended, if it has.
     ///
     /// # Errors
--- a/crates/testkit/src/fleet/run.rs
+++ b/crates/testkit/src/fleet/run.rs
@@ -26,8 +26,10 @@
 use super::State;
 use super::Vm;
 use super::launch;
+use crate::caller::ServerLedger;
 use crate::http::Whole;
 use crate::http::fetch;
+use crate::server::Journal;
 
 /// Name of the only region.
 const REGION: &str = "r1";
@@ -125,7 +127,7 @@
                 let services = &self.layout.services;
                 let service = services.iter().find(|found| found.name == *service);
                 let service = service.ok_or_else(|| Error::UnknownVm(name.to_owned()))?;
-                let arguments = launch::server(&vm, *address, service, seed);
+                let arguments = launch::server(&vm, *address, service, seed, &self.journal(name));
                 self.launch(name, Program::Server, &arguments)
             }
         }
@@ -176,13 +178,13 @@
         Ok(())
     }
 
-    /// Pauses a process (SIGSTOP).
+    /// Pauses a process (SIGSTOP) and waits until it has stopped.
     ///
     /// # Errors
     ///
     /// The process is not running.
-    pub fn pause(&mut self, name: &str) -> Result<(), Error> {
-        self.signal(name, Signal::STOP)
+    pub async fn pause(&mut self, name: &str) -> Result<(), Error> {
+        self.process(name)?.pause().await
     }
 
     /// Lets a paused process go on (SIGCONT).
@@ -237,6 +239,27 @@
         Ok(())
     }
 
+    /// What the servers ran according to their journals, processes that have ended included.
+    ///
+    /// # Errors
+    ///
+    /// A journal cannot be read.
+    pub fn ledgers(&self) -> Result<Vec<ServerLedger>, Error> {
+        let mut ledgers = Vec::new();
+        for name in self.names(|vm| matches!(vm.role, Role::Server { .. })) {
+            let journal = self.journal(&name);
+            let read = Journal::read(&journal);
+            let mut ledger = ServerLedger::from(&read.context(format!("{}", journal.display()))?);
+            ledger.counts.name = name;
+            ledgers.push(ledger);
+        }
+        Ok(ledgers)
+    }
+
+    fn journal(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.journal"))
+    }
+
     /// Where the platform listens.
     pub fn platform(&self) -> SocketAddr {
         self.platform
--- a/crates/testkit/src/server/adapter.rs
+++ b/crates/testkit/src/server/adapter.rs
@@ -19,6 +19,7 @@
 use super::Arrival;
 use super::Counts;
 use super::Fault;
+use super::Journal;
 use super::Manner;
 use super::Model;
 use super::Options;
@@ -42,10 +43,20 @@
 struct Table {
     model: Model,
     waiting: HashMap<Ticket, Arc<Notify>>,
+    journal: Option<Journal>,
 }
 
 impl Table {
-    fn wake(&mut self) {
+    /// Writes down what happened and wakes whose phase has changed.
+    fn settle(&mut self) {
+        let events = self.model.take_events();
+        // The events must be in the file before the work goes on, or a kill in between would lose them. The write goes
+        // to memory of the operating system, so the lock is held for microseconds.
+        if let Some(journal) = &mut self.journal
+            && let Err(err) = journal.write(&events)
+        {
+            eprintln!("writing the journal: {err}");
+        }
         for ticket in self.model.take_woken() {
             if let Some(notify) = self.waiting.get(&ticket) {
                 notify.notify_one();
@@ -77,7 +88,8 @@
 
     /// A server that just started, with its own time of a probe and `padding` bytes added to each answer.
     pub fn with_costs(options: Options, probe_cost: Duration, padding: usize) -> Self {
-        let table = Table { model: Model::new(options), waiting: HashMap::new() };
+        let model = Model::new(options);
+        let table = Table { model, waiting: HashMap::new(), journal: None };
         let shared = Shared {
             table: Mutex::new(table),
             started: Instant::now(),
@@ -89,6 +101,11 @@
         Self { shared: Arc::new(shared) }
     }
 
+    /// Writes events to a journal from now on.
+    pub fn set_journal(&self, journal: Journal) {
+        self.shared.table.lock().journal = Some(journal);
+    }
+
     /// Listens on `address` and serves until `cancel`.
     ///
     /// # Errors
@@ -116,7 +133,7 @@
     pub fn change<T>(&self, change: impl FnOnce(&mut Model, Duration) -> T) -> T {
         let mut table = self.shared.table.lock();
         let result = change(&mut table.model, self.shared.started.elapsed());
-        table.wake();
+        table.settle();
         result
     }
 
@@ -193,7 +210,7 @@
         if let Admission::Entered(ticket) = admission {
             table.waiting.insert(ticket, Arc::clone(&notify));
         }
-        table.wake();
+        table.settle();
         match admission {
             Admission::Entered(ticket) => Ok(Entered { service: self, ticket, notify }),
             refused => Err(refused),
@@ -295,7 +312,7 @@
         let mut table = self.service.shared.table.lock();
         table.model.stop(self.service.shared.started.elapsed(), self.ticket);
         table.waiting.remove(&self.ticket);
-        table.wake();
+        table.settle();
         if table.model.is_idle() {
             self.service.shared.idle.notify_one();
         }
--- a/crates/testkit/src/server/ledger.rs
+++ b/crates/testkit/src/server/ledger.rs
@@ -31,6 +31,34 @@
     pub load: usize,
 }
 
+impl Overrun {
+    /// An overrun at `now` of a server that was cold for `cold_for`.
+    pub fn new(now: Duration, cold_for: Duration, load: usize) -> Self {
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        Self { at_ms: millis(now), cold_for_ms: millis(cold_for), load }
+    }
+}
+
+/// What a server writes down at once, so that it is known even if the process is killed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Event {
+    /// A request starts to run.
+    Start {
+        /// Its id.
+        id: String,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// The server falls over.
+    Overrun(Overrun),
+    /// A new request came in while the server was draining.
+    WhileDraining {
+        /// Its id.
+        id: String,
+    },
+}
+
 /// Counts since the start.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Counts {
@@ -70,6 +98,7 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     entries: BTreeMap<String, Entry>,
+    events: Vec<Event>,
     /// Counts since the start.
     pub counts: Counts,
 }
@@ -81,6 +110,7 @@
         let entry = self.entries.entry(id.to_owned()).or_default();
         entry.runs += 1;
         entry.attempts.push(attempt);
+        self.events.push(Event::Start { id: id.to_owned(), attempt });
     }
 
     /// Records that a request ended by itself.
@@ -92,15 +122,34 @@
     }
 
     /// Records that the server fell over.
-    pub fn overrun(&mut self, now: Duration, cold_for: Duration, load: usize) {
+    pub fn overrun(&mut self, overrun: Overrun) {
         self.counts.overrun += 1;
         if self.counts.overruns.len() < MAX_OVERRUNS {
-            let at_ms = millis(now);
-            let cold_for_ms = millis(cold_for);
-            self.counts.overruns.push(Overrun { at_ms, cold_for_ms, load });
+            self.counts.overruns.push(overrun);
+        }
+        self.events.push(Event::Overrun(overrun));
+    }
+
+    /// Records a new request while the server is draining.
+    pub fn while_draining(&mut self, id: &str) {
+        self.counts.while_draining += 1;
+        self.events.push(Event::WhileDraining { id: id.to_owned() });
+    }
+
+    /// Records again what a process wrote down.
+    pub fn replay(&mut self, event: &Event) {
+        match event {
+            Event::Start { id, attempt } => self.start(id, *attempt),
+            Event::Overrun(overrun) => self.overrun(*overrun),
+            Event::WhileDraining { id } => self.while_draining(id),
         }
     }
 
+    /// The events since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Records the number of requests on the server.
     pub fn load(&mut self, load: usize, cold: bool) {
         self.counts.max_load = self.counts.max_load.max(load);
@@ -119,7 +168,3 @@
         self.entries.iter().map(|(id, entry)| Entry { id: id.clone(), ..entry.clone() })
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/testkit/src/server/mod.rs
+++ b/crates/testkit/src/server/mod.rs
@@ -19,12 +19,14 @@
 //! | `POST /test/clear` | ends all faults and misleading reports |
 //!
 //! A request counts as run in the ledger when its work starts, and also when it fails in a way that proves nothing to
-//! its sender (an answer with status 500, a broken connection).
+//! its sender (an answer with status 500, a broken connection). A [`Journal`] keeps the ledger in a file, for servers
+//! that are killed, restarted or drained before anyone asks.
 
 mod adapter;
 mod answer;
 mod control;
 mod fault;
+mod journal;
 mod ledger;
 mod model;
 mod options;
@@ -33,8 +35,10 @@
 pub use self::adapter::Service;
 pub use self::fault::Fault;
 pub use self::fault::Faults;
+pub use self::journal::Journal;
 pub use self::ledger::Counts;
 pub use self::ledger::Entry;
+pub use self::ledger::Event;
 pub use self::ledger::Ledger;
 pub use self::ledger::Overrun;
 pub use self::model::Admission;
--- a/crates/testkit/src/server/model.rs
+++ b/crates/testkit/src/server/model.rs
@@ -2,12 +2,14 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::Event;
 use super::Fault;
 use super::Faults;
 use super::Ledger;
 use super::Load;
 use super::Mislead;
 use super::Options;
+use super::Overrun;
 use super::Reports;
 
 /// Identifies a request on the server.
@@ -126,7 +128,7 @@
         self.settle(now);
         self.ledger.counts.received += 1;
         if self.draining {
-            self.ledger.counts.while_draining += 1;
+            self.ledger.while_draining(arrival.id);
             return self.shed("draining");
         }
         if now < self.fallen_until {
@@ -136,13 +138,13 @@
             self.fail(arrival);
             return Admission::Failed(Manner::Error);
         }
-        let load = self.requests.len() + 1;
+        let load = self.load_now() + 1;
         let cold_since = self.cold_since();
         if let Some(since) = cold_since
             && load > 1
         {
             self.ledger.load(load, true);
-            self.ledger.overrun(now, now.saturating_sub(since), load);
+            self.ledger.overrun(Overrun::new(now, now.saturating_sub(since), load));
             self.fall(now);
             return self.fail(arrival);
         }
@@ -161,15 +163,17 @@
         self.requests.get(&ticket).map_or(Phase::Failed(Manner::Hangup), |request| request.phase)
     }
 
-    /// Ends a request that did its work. Nothing happens if it was lost meanwhile.
+    /// Ends a request that did its work. Nothing is counted if it was lost meanwhile; one that still waits has been
+    /// stopped.
     pub fn complete(&mut self, now: Duration, ticket: Ticket) {
         self.settle(now);
         let Some(request) = self.requests.get(&ticket) else { return };
-        if matches!(request.phase, Phase::Running(_)) {
-            self.ledger.complete(&request.id);
-            if let Warmth::Cold { served, .. } = &mut self.warmth {
-                *served += 1;
-            }
+        if !matches!(request.phase, Phase::Running(_)) {
+            return self.stop(now, ticket);
+        }
+        self.ledger.complete(&request.id);
+        if let Warmth::Cold { served, .. } = &mut self.warmth {
+            *served += 1;
         }
         self.remove(now, ticket);
     }
@@ -188,6 +192,11 @@
         std::mem::take(&mut self.woken)
     }
 
+    /// What happened since the last call and should be written down.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        self.ledger.take_events()
+    }
+
     /// Refuses new work from now on.
     pub fn drain(&mut self, now: Duration) {
         self.draining = true;
@@ -230,9 +239,14 @@
         &self.ledger
     }
 
+    /// Requests that run or wait. Lost ones, which have not been taken off yet, are no load.
+    fn load_now(&self) -> usize {
+        self.running + self.waiting.len()
+    }
+
     fn present(&self) -> Load {
         Load {
-            in_flight: self.requests.len() as u64,
+            in_flight: self.load_now() as u64,
             slots: self.options.slots as u64,
             warm: (!self.is_cold()).into(),
             draining: self.draining.into(),
@@ -305,6 +319,9 @@
     /// Loses all requests and fails new ones for a while; then the server is cold.
     fn fall(&mut self, now: Duration) {
         for (ticket, request) in &mut self.requests {
+            if matches!(request.phase, Phase::Failed(_)) {
+                continue;
+            }
             if request.phase == Phase::Waiting {
                 self.ledger.start(&request.id, request.attempt);
             }
--- /dev/null
+++ b/crates/testkit/tests/caller.rs
@@ -0,0 +1,193 @@
+//! The load tool: its plan, its verdicts and its checks.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use rstest::rstest;
+use tokio_util::sync::CancellationToken;
+
+use jackdawpin_testkit::caller::Addresses;
+use jackdawpin_testkit::caller::Audit;
+use jackdawpin_testkit::caller::Caller;
+use jackdawpin_testkit::caller::Class;
+use jackdawpin_testkit::caller::Options;
+use jackdawpin_testkit::caller::Pace;
+use jackdawpin_testkit::caller::Plan;
+use jackdawpin_testkit::caller::Record;
+use jackdawpin_testkit::caller::Report;
+use jackdawpin_testkit::caller::ServerLedger;
+use jackdawpin_testkit::caller::Target;
+use jackdawpin_testkit::caller::classify;
+use jackdawpin_testkit::caller::fetch_ledger;
+use jackdawpin_testkit::http::Limits;
+use jackdawpin_testkit::http::NOT_RUN;
+use jackdawpin_testkit::http::OUTCOME;
+use jackdawpin_testkit::http::REQUEST_ID;
+use jackdawpin_testkit::http::Whole;
+use jackdawpin_testkit::server::Entry;
+use jackdawpin_testkit::server::Options as ServerOptions;
+use jackdawpin_testkit::server::Service;
+use jackdawpin_testkit::server::Work;
+
+/// Guards against a rate or a mix that is not the one asked for, and against runs that cannot be repeated.
+#[test]
+fn plan() {
+    let options = Options { idempotent: 0.25, prefix: "p".to_owned(), ..Options::default() };
+    let mut plan = Plan::new(&options);
+    let arrivals: Vec<Duration> = (0..10_000).map(|_| plan.next_arrival(1_000.0)).collect();
+    let seconds = arrivals.last().unwrap().as_secs_f64();
+    assert!((9.5..10.5).contains(&seconds), "10,000 arrivals at 1,000/s took {seconds} s");
+    assert!(arrivals.is_sorted());
+    let calls: Vec<_> = (0..10_000).map_while(|_| plan.next_call()).collect();
+    let idempotent = calls.iter().filter(|call| call.idempotent).count();
+    assert!((2_300..2_700).contains(&idempotent), "{idempotent} of 10,000 are idempotent");
+    assert_eq!(calls[7].id, "p-7");
+    let again = Plan::new(&options).next_arrival(1_000.0);
+    assert_eq!(again, arrivals[0]);
+}
+
+/// Guards against weights that are ignored, and against a second attempt at an address that just failed.
+#[test]
+fn addresses() {
+    let text = r#"{"addresses":[{"address":"127.0.0.1:1","weight":3},{"address":"127.0.0.1:2","weight":1},
+        {"address":"127.0.0.1:3","weight":0}],"ttl_ms":2000}"#;
+    let addresses: Addresses = serde_json::from_str(text).unwrap();
+    assert_eq!(addresses.ttl(), Duration::from_secs(2));
+    let mut rng = fastrand::Rng::with_seed(1);
+    let picked: Vec<u16> = (0..4_000)
+        .filter_map(|_| addresses.pick(&[], &mut rng))
+        .map(|address| address.port())
+        .collect();
+    let first = picked.iter().filter(|port| **port == 1).count();
+    assert!((2_800..3_200).contains(&first), "{first} of 4,000 went to the heavier address");
+    assert!(!picked.contains(&3));
+    let [one, two, three] = [1, 2, 3].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    assert_eq!(addresses.pick(&[one], &mut rng), Some(two));
+    assert_eq!(addresses.pick(&[one, two], &mut rng), Some(three), "better than none");
+}
+
+fn whole(status: u16, header: Option<(&'static str, &'static str)>, body: &'static str) -> Whole {
+    let mut headers = HeaderMap::new();
+    if let Some((name, value)) = header {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    let status = StatusCode::from_u16(status).unwrap_or_default();
+    Whole { status, headers, body: Bytes::from_static(body.as_bytes()) }
+}
+
+/// Guards against verdicts that hide a fault: each answer that does not keep to the protocol is unexplained.
+#[rstest]
+#[case::answered(200, Some((OUTCOME, "answered")), r#"{"id":"a"}"#, false, Class::Answered)]
+#[case::other_id(200, Some((OUTCOME, "answered")), r#"{"id":"b"}"#, false, Class::Unexplained)]
+#[case::not_json(200, Some((OUTCOME, "answered")), "{\"id\":\"a\"", false, Class::Unexplained)]
+#[case::refused(503, Some((OUTCOME, "refused")), "", false, Class::Refused)]
+#[case::refused_status(502, Some((OUTCOME, "refused")), "", false, Class::Unexplained)]
+#[case::unknown(502, Some((OUTCOME, "unknown")), "", false, Class::Unknown)]
+#[case::unknown_status(503, Some((OUTCOME, "unknown")), "", false, Class::Unexplained)]
+#[case::no_outcome(200, None, r#"{"id":"a"}"#, false, Class::Unexplained)]
+#[case::direct(200, None, r#"{"id":"a"}"#, true, Class::Answered)]
+#[case::direct_header(200, Some((REQUEST_ID, "b")), r#"{"id":"a"}"#, true, Class::Unexplained)]
+#[case::direct_shed(503, Some((NOT_RUN, "shed")), "", true, Class::Refused)]
+fn verdicts(
+    #[case] status: u16,
+    #[case] header: Option<(&'static str, &'static str)>,
+    #[case] body: &'static str,
+    #[case] direct: bool,
+    #[case] class: Class,
+) {
+    let result = Ok(whole(status, header, body));
+    assert_eq!(classify(&result, "a", direct).class, class);
+}
+
+fn record(id: &str, idempotent: bool, class: Class) -> Record {
+    Record {
+        id: id.to_owned(),
+        idempotent,
+        target: 0,
+        at: Duration::ZERO,
+        latency: Duration::from_millis(1),
+        class,
+        reason: String::new(),
+        status: 200,
+        moves: 0,
+    }
+}
+
+/// Guards against an audit that finds nothing, or that takes what is allowed for a fault. The request runs on two
+/// servers, so the sum counts.
+#[rstest]
+#[case::clean(false, Class::Answered, 1, 0, [0, 0, 0])]
+#[case::doubled(false, Class::Answered, 1, 1, [1, 0, 0])]
+#[case::doubled_unknown(false, Class::Unknown, 1, 1, [1, 0, 0])]
+#[case::repeated(true, Class::Answered, 2, 1, [0, 0, 0])]
+#[case::lost(true, Class::Answered, 0, 0, [0, 1, 0])]
+#[case::refused(false, Class::Refused, 0, 0, [0, 0, 0])]
+#[case::false_refusal(true, Class::Refused, 0, 1, [0, 0, 1])]
+#[case::unexplained(false, Class::Unexplained, 1, 0, [0, 0, 0])]
+fn audit(
+    #[case] idempotent: bool,
+    #[case] class: Class,
+    #[case] first: u32,
+    #[case] second: u32,
+    #[case] expected: [u64; 3],
+) {
+    let ledger = |runs| ServerLedger {
+        entries: Vec::from_iter((runs > 0).then(|| Entry {
+            id: "a".to_owned(),
+            runs,
+            ..Entry::default()
+        })),
+        ..ServerLedger::default()
+    };
+    let records = [record("a", idempotent, class)];
+    let audit = Audit::of(&records, &[ledger(first), ledger(second)]);
+    assert_eq!([audit.doubled, audit.lost, audit.false_refusals], expected);
+    assert_eq!(audit.is_clean(), expected == [0, 0, 0]);
+}
+
+/// Guards against latencies that are counted for requests without an answer, and against wrong percentiles.
+#[test]
+fn report() {
+    let mut records: Vec<Record> = (1..=1_000)
+        .map(|millis| Record {
+            latency: Duration::from_millis(millis),
+            ..record("a", true, Class::Answered)
+        })
+        .collect();
+    let late = Duration::from_secs(60);
+    records.push(Record { latency: late, ..record("b", true, Class::Refused) });
+    let report = Report::of(&records);
+    assert_eq!((report.sent, report.answered, report.refused), (1_001, 1_000, 1));
+    assert!(report.balanced);
+    let near = |us: u64, millis: u64| us.abs_diff(millis * 1_000) <= millis * 10;
+    let latency = report.latency;
+    assert!(near(latency.p50_us, 500) && near(latency.p99_us, 990) && near(latency.max_us, 1_000));
+}
+
+/// Guards against a load tool whose own records disagree with a server that does nothing wrong.
+#[rstest]
+#[case::open(Pace::Open(400.0))]
+#[case::closed(Pace::Closed(3))]
+#[tokio::test]
+async fn agrees_with_the_ledger(#[case] pace: Pace) {
+    let work = Work::Exponential(Duration::from_millis(2));
+    let service = Service::new(ServerOptions { warm: true, work, ..ServerOptions::default() });
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let running = service.start(any, Limits::default(), &CancellationToken::new()).await.unwrap();
+    let time = Duration::from_millis(500);
+    let options = Options { pace, time, max_requests: 150, ..Options::default() };
+    let targets = [Target::Servers(vec![running.address])];
+    let caller = Caller::new(options, &targets).await.unwrap();
+    let records = caller.run(&CancellationToken::new()).await;
+    let report = Report::of(&records);
+    assert!(report.sent > 50 && report.balanced, "{report}");
+    assert_eq!(report.sent, report.answered + report.refused, "{report}");
+    let ledger = fetch_ledger(running.address).await.unwrap();
+    assert_eq!(ledger.counts.completed, report.answered);
+    let audit = Audit::of(&records, &[ledger]);
+    assert!(audit.is_clean(), "{audit}");
+}
--- /dev/null
+++ b/crates/testkit/tests/fleet.rs
@@ -0,0 +1,83 @@
+//! The fleet, without the daemon.
+
+use std::path::Path;
+use std::time::Duration;
+
+use rstest::rstest;
+
+use jackdawpin_testkit::caller::fetch_ledger;
+use jackdawpin_testkit::fleet::Error;
+use jackdawpin_testkit::fleet::Fleet;
+use jackdawpin_testkit::fleet::Layout;
+use jackdawpin_testkit::fleet::Loopback;
+use jackdawpin_testkit::fleet::Program;
+use jackdawpin_testkit::fleet::Programs;
+use jackdawpin_testkit::fleet::State;
+use jackdawpin_testkit::http::fetch;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Guards against two processes on one address, and against addresses that are used up by fleets that have ended.
+#[test]
+fn loopback() {
+    let first = Loopback::take().unwrap();
+    let second = Loopback::take().unwrap();
+    assert_ne!(first.port(1), second.port(1));
+    assert!(first.port(1).ip().is_loopback());
+    for _ in 0..1_000 {
+        Loopback::take().unwrap();
+    }
+}
+
+/// Guards against an error that does not say how to build what is missing.
+#[rstest]
+#[case("t/debug/deps/a", Program::Daemon, "cargo build -p jackdawpin-daemon --bin jackdawpind")]
+#[case("t/debug/examples/a", Program::Server, "cargo build -p jackdawpin-testkit --example server")]
+#[case(
+    "t/release/a",
+    Program::Client,
+    "cargo build --release -p jackdawpin-client --bin jackdawpin"
+)]
+fn missing_program(#[case] own: &str, #[case] program: Program, #[case] command: &str) {
+    let err = Programs::beside(Path::new(own)).unwrap().path(program).unwrap_err();
+    assert!(matches!(&err, Error::Missing(_, _, found) if found == command), "{err}");
+}
+
+/// Guards against processes that a test cannot reach, pause, restart or end, and against those that stay behind.
+#[tokio::test]
+async fn life_of_a_fleet() {
+    let mut fleet = Fleet::start(Layout::default()).await.unwrap();
+    let folder = fleet.folder().to_owned();
+    let platform = fleet.platform();
+    let config = fetch(platform, "GET", "/v1/kv/jackdawpin/config", "", LIMIT).await.unwrap();
+    assert_eq!(config.header("x-consul-index"), Some("2"));
+
+    let servers = fleet.names(|vm| vm.name.starts_with("lookup"));
+    assert_eq!(servers, ["lookup-1", "lookup-2"]);
+    let address = fleet.address("lookup-1").unwrap();
+    fleet.pause("lookup-1").await.unwrap();
+    let paused = fetch(address, "GET", "/load", "", Duration::from_millis(100)).await;
+    assert!(paused.is_err(), "a paused server answered");
+    fleet.resume("lookup-1").unwrap();
+    fetch(address, "GET", "/load", "", LIMIT).await.unwrap();
+    fleet.command("lookup-1", "/test/slow?factor=2").await.unwrap();
+    assert_eq!(fetch_ledger(address).await.unwrap().counts.name, "lookup-1");
+
+    fetch(address, "POST", "/task", "", LIMIT).await.unwrap();
+    let ledgers = fleet.ledgers().unwrap();
+    assert_eq!((ledgers[0].counts.started, ledgers[1].counts.started), (1, 0));
+
+    fleet.terminate("lookup-1").unwrap();
+    assert!(fleet.wait("lookup-1", LIMIT).await.unwrap().success());
+    fleet.kill("lookup-2").unwrap();
+    assert!(matches!(fleet.pause("lookup-2").await, Err(Error::NotRunning(_))));
+    fleet.start_vm("lookup-2").unwrap();
+    assert_eq!(fleet.ledgers().unwrap()[0], ledgers[0], "the journal outlives its process");
+    fleet.set_state("lookup-1", State::Leaving).unwrap();
+    let vms = fetch(platform, "GET", "/v1/kv/jackdawpin/vms?index=3&wait=5s", "", LIMIT).await;
+    assert_eq!(vms.unwrap().header("x-consul-index"), Some("4"));
+
+    drop(fleet);
+    assert!(!folder.exists());
+    assert!(fetch(platform, "GET", "/test/counts", "", LIMIT).await.is_err());
+}
