testkit: add the demonstration

It runs a mixed load for two services through the entries while a server goes slow, one is drained and a failure domain leaves and returns, and prints outcomes and latency per phase, the merged time line and the ledger check. Not run yet: it needs the daemon.

--- /dev/null
+++ b/crates/testkit/examples/demo.rs
@@ -0,0 +1,281 @@
+//! The demonstration: a small fleet under load while a server goes slow, a server is drained and a failure domain
+//! leaves and returns.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use gumdrop::Options as _;
+use quick_error::quick_error;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use jackdawpin_testkit::caller::Audit;
+use jackdawpin_testkit::caller::Caller;
+use jackdawpin_testkit::caller::Error as CallerError;
+use jackdawpin_testkit::caller::LedgerError;
+use jackdawpin_testkit::caller::Options;
+use jackdawpin_testkit::caller::Pace;
+use jackdawpin_testkit::caller::Record;
+use jackdawpin_testkit::caller::Report;
+use jackdawpin_testkit::caller::ServerLedger;
+use jackdawpin_testkit::caller::Target;
+use jackdawpin_testkit::caller::fetch_ledger;
+use jackdawpin_testkit::fleet::Error as FleetError;
+use jackdawpin_testkit::fleet::Fleet;
+use jackdawpin_testkit::fleet::Layout;
+use jackdawpin_testkit::fleet::Role;
+use jackdawpin_testkit::fleet::Service;
+use jackdawpin_testkit::fleet::State;
+use jackdawpin_testkit::fleet::fetch_page;
+use jackdawpin_testkit::fleet::merge;
+
+/// The services: name, and share of idempotent requests.
+const SERVICES: [(&str, f64); 2] = [("lookup", 0.9), ("orders", 0.2)];
+/// Number of failure domains.
+const DOMAINS: usize = 4;
+/// Failure domain that leaves and returns.
+const DOMAIN: &str = "d2";
+/// Server that goes slow.
+const SLOW: &str = "lookup-1";
+/// Server that is drained.
+const DRAINED: &str = "lookup-3";
+/// Time after a change within which new work may still arrive.
+const GRACE: Duration = Duration::from_secs(2);
+/// Time for the entries to become ready, and for a server to drain.
+const LIMIT: Duration = Duration::from_secs(20);
+/// Most entries that are started.
+const MAX_ENTRIES: usize = 16;
+
+quick_error! {
+    /// Why the demonstration ended early.
+    #[derive(Debug)]
+    enum Error {
+        Fleet(err: FleetError) {
+            from()
+            display("{}", err)
+        }
+        Caller(err: CallerError) {
+            from()
+            display("{}", err)
+        }
+        Ledger(err: LedgerError) {
+            from()
+            display("{}", err)
+        }
+        Task(err: tokio::task::JoinError) {
+            from()
+            display("a task failed: {}", err)
+        }
+    }
+}
+
+/// Shows what the load balancer does.
+#[derive(Debug, gumdrop::Options)]
+#[options(no_short)]
+struct Flags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "number of entries, at most 16", default = "4")]
+    entries: usize,
+    #[options(help = "servers per service", default = "8")]
+    servers: usize,
+    #[options(help = "requests per second and service", default = "200")]
+    rate: f64,
+    #[options(help = "seconds per phase, at least 3", default = "4")]
+    seconds: u64,
+    #[options(help = "mean time of work on a server, in microseconds", default = "5000")]
+    work_us: u64,
+    #[options(help = "seed of everything random", default = "1")]
+    seed: u64,
+    #[options(help = "events of the time line that are printed", default = "40")]
+    events: usize,
+}
+
+/// A part of the run: its name and when it began.
+struct Phase {
+    name: &'static str,
+    from: Duration,
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> ExitCode {
+    match run(&Flags::parse_args_default_or_exit()).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(2),
+        Err(err) => {
+            eprintln!("demo: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns whether the ledger check found nothing.
+async fn run(flags: &Flags) -> Result<bool, Error> {
+    let mut fleet = Fleet::start(layout(flags)).await?;
+    println!(
+        "starting {} entries for {} servers",
+        flags.entries.min(MAX_ENTRIES),
+        fleet.servers(None).len()
+    );
+    fleet.start_entries(LIMIT).await?;
+    let start = tokio::time::Instant::now();
+    let stop = CancellationToken::new();
+    let mut loads = Vec::new();
+    for (number, (service, idempotent)) in SERVICES.into_iter().enumerate() {
+        loads.push(load(&fleet, flags, number as u64, service, idempotent, &stop).await?);
+    }
+    let phases = phases(&mut fleet, Duration::from_secs(flags.seconds.max(3)), start).await;
+    stop.cancel();
+    let mut records = BTreeMap::new();
+    for ((service, _), load) in SERVICES.into_iter().zip(loads) {
+        records.insert(service, load.await?);
+    }
+    print_phases(&phases?, &records);
+    print_timeline(&fleet, flags.events).await;
+    let ledgers = fleet.ledgers()?;
+    print_servers(&ledgers);
+    let audit = Audit::of(records.values().flatten(), &ledgers);
+    println!("\n{audit}");
+    Ok(audit.is_clean())
+}
+
+fn layout(flags: &Flags) -> Layout {
+    let service = |(name, _): (&str, f64)| Service {
+        name: name.to_owned(),
+        servers: flags.servers,
+        flags: vec![format!("--work-us={}", flags.work_us)],
+    };
+    Layout {
+        domains: DOMAINS,
+        entries: flags.entries.clamp(1, MAX_ENTRIES),
+        services: SERVICES.into_iter().map(service).collect(),
+        seed: flags.seed,
+        ..Layout::default()
+    }
+}
+
+/// Starts the load of one service.
+async fn load(
+    fleet: &Fleet,
+    flags: &Flags,
+    number: u64,
+    service: &str,
+    idempotent: f64,
+    stop: &CancellationToken,
+) -> Result<JoinHandle<Vec<Record>>, Error> {
+    let options = Options {
+        pace: Pace::Open(flags.rate),
+        time: Duration::from_secs(3_600),
+        idempotent,
+        seed: flags.seed + number,
+        ..Options::default()
+    };
+    let target = Target::Entries { first: fleet.entries(), service: service.to_owned() };
+    let caller = Caller::new(options, &[target]).await?;
+    let stop = stop.clone();
+    Ok(tokio::spawn(async move { caller.run(&stop).await }))
+}
+
+/// Lets things happen, and notes when.
+async fn phases(
+    fleet: &mut Fleet,
+    time: Duration,
+    start: tokio::time::Instant,
+) -> Result<Vec<Phase>, Error> {
+    let mut phases = Vec::new();
+    let mut begin = |name: &'static str| {
+        println!("{:>7.2} s  {name}", start.elapsed().as_secs_f64());
+        phases.push(Phase { name, from: start.elapsed() });
+    };
+    begin("all servers start cold");
+    tokio::time::sleep(time).await;
+
+    begin("nothing happens");
+    tokio::time::sleep(time).await;
+
+    begin("lookup-1 takes 8 times as long");
+    let slow = format!("/test/slow?factor=8&ms={}", time.as_millis());
+    fleet.command(SLOW, &slow).await?;
+    tokio::time::sleep(time).await;
+
+    begin("lookup-3 is drained");
+    fleet.terminate(DRAINED)?;
+    tokio::time::sleep(time / 2).await;
+    fleet.set_state(DRAINED, State::Leaving)?;
+    tokio::time::sleep(time / 2).await;
+    fleet.wait(DRAINED, LIMIT).await?;
+
+    begin("failure domain d2 is taken out of service");
+    fleet.documents.out.push((DOMAIN.to_owned(), "power maintenance".to_owned()));
+    fleet.documents.publish_config()?;
+    tokio::time::sleep(GRACE).await;
+    let before = received(fleet).await?;
+    tokio::time::sleep(time.saturating_sub(GRACE)).await;
+    let after = received(fleet).await?;
+    println!(
+        "           new work on {DOMAIN} later than {GRACE:?} after the change: {}",
+        after - before
+    );
+
+    begin("failure domain d2 returns");
+    fleet.documents.out.clear();
+    fleet.documents.publish_config()?;
+    tokio::time::sleep(time).await;
+    begin("the end");
+    Ok(phases)
+}
+
+/// Requests that the servers of the failure domain have received.
+async fn received(fleet: &Fleet) -> Result<u64, Error> {
+    let mut sum = 0;
+    let servers = fleet.names(|vm| vm.domain == DOMAIN && matches!(vm.role, Role::Server { .. }));
+    for name in servers {
+        sum += fetch_ledger(fleet.address(&name)?).await?.counts.received;
+    }
+    Ok(sum)
+}
+
+fn print_phases(phases: &[Phase], records: &BTreeMap<&str, Vec<Record>>) {
+    for pair in phases.windows(2) {
+        let [phase, next] = pair else { continue };
+        println!("\n{}", phase.name);
+        for (service, records) in records {
+            let own = records.iter().filter(|record| (phase.from..next.from).contains(&record.at));
+            println!("  {service}: {}", Report::of(own).to_string().replace('\n', "\n    "));
+        }
+    }
+    for (service, records) in records {
+        println!("\nwhole run, {service}: {}", Report::of(records));
+    }
+}
+
+fn print_servers(ledgers: &[ServerLedger]) {
+    println!("\nservers: requests started, overruns while cold, new work while draining");
+    for ServerLedger { counts, .. } in ledgers {
+        let (started, overrun) = (counts.started, counts.overrun);
+        println!("  {:<10} {started:>8} {overrun:>4} {:>4}", counts.name, counts.while_draining);
+    }
+}
+
+/// Prints the last events of all entries in one order.
+async fn print_timeline(fleet: &Fleet, shown: usize) {
+    let mut pages = Vec::new();
+    for control in fleet.controls() {
+        match fetch_page(control).await {
+            Ok(page) => pages.push(page),
+            Err(err) => println!("no time line from {control}: {err}"),
+        }
+    }
+    let moments = merge(pages);
+    let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
+    for moment in &moments {
+        *kinds.entry(&moment.event.kind).or_default() += 1;
+    }
+    println!("\ntime line: {} events, by kind {kinds:?}", moments.len());
+    let Some(first) = moments.first() else { return };
+    for moment in moments.iter().skip(moments.len().saturating_sub(shown)) {
+        let millis = moment.event.stamp.millis.saturating_sub(first.event.stamp.millis);
+        println!("  {:>8.3} s {:>4} {}", millis as f64 / 1e3, moment.vm, moment.event.text);
+    }
+}
--- a/crates/testkit/src/fleet/error.rs
+++ b/crates/testkit/src/fleet/error.rs
@@ -6,6 +6,7 @@
 
 use super::Program;
 use crate::http::Error as ExchangeError;
+use jackdawpin_wire as wire;
 
 quick_error! {
     /// Why a fleet could not do what it was asked to.
@@ -52,6 +53,12 @@
             display("{}", err)
             source(err)
         }
+        /// An entry's answer is not the expected message.
+        Decode(err: wire::Error) {
+            from()
+            display("{}", err)
+            source(err)
+        }
         /// A document could not be encoded.
         Encode(err: serde_json::Error) {
             from()
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod process;
 mod programs;
 mod run;
+mod timeline;
 
 pub use self::address::Loopback;
 pub use self::documents::Documents;
@@ -28,6 +29,9 @@
 pub use self::programs::Program;
 pub use self::programs::Programs;
 pub use self::run::Fleet;
+pub use self::timeline::Moment;
+pub use self::timeline::fetch_page;
+pub use self::timeline::merge;
 
 /// Port for callers, of servers and of the platform.
 pub const PORT: u16 = 7000;
