--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -22,6 +22,8 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use self::probe::Probes;
+use self::reconcile::Basis;
 use crate::event::Event;
 use crate::flow::Tables;
 use crate::intent::Fetch;
@@ -34,9 +36,6 @@
 use crate::port::Ports;
 use crate::time::Instant;
 
-use self::probe::Probes;
-use self::reconcile::Basis;
-
 pub use self::holding::Holding;
 pub use self::holding::holdings;
 pub use self::message::Claim;
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -20,14 +20,13 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use self::state::State;
+use self::state::Waiter;
 use crate::lock::Mutex;
 use crate::lock::Rank;
 use crate::name;
 use crate::time::Instant;
 
-use self::state::State;
-use self::state::Waiter;
-
 pub use self::limit::Change;
 pub use self::limit::Kind;
 pub use self::limit::Limit;
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -4,10 +4,6 @@
 
 use std::time::Duration;
 
-use jackdawpin_core::port::Random;
-use jackdawpin_core::probe;
-use jackdawpin_core::retry;
-use jackdawpin_core::time::Instant;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngAlgorithm;
@@ -15,6 +11,11 @@
 use proptest::test_runner::TestRunner;
 use rstest::rstest;
 
+use jackdawpin_core::port::Random;
+use jackdawpin_core::probe;
+use jackdawpin_core::retry;
+use jackdawpin_core::time::Instant;
+
 const FRESH: Duration = Duration::from_secs(1);
 
 /// Returns the same part of each bound, in thousandths.
--- a/crates/core/tests/event.rs
+++ b/crates/core/tests/event.rs
@@ -2,14 +2,13 @@
 
 mod intent_support;
 
+use crate::intent_support::*;
 use jackdawpin_core::event::Clock;
 use jackdawpin_core::event::MAX_TEXT;
 use jackdawpin_core::event::Ring;
 use jackdawpin_core::event::Timeline;
 use jackdawpin_core::name;
 
-use crate::intent_support::*;
-
 fn stamp(millis: u64, counter: u32) -> Stamp {
     Stamp { millis, counter }
 }
--- a/crates/core/tests/fence.rs
+++ b/crates/core/tests/fence.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use crate::intent_support::*;
 use jackdawpin_core::intent::Evidence;
 use jackdawpin_core::intent::Fetch;
 use jackdawpin_core::intent::Gate;
@@ -11,8 +12,6 @@
 use jackdawpin_core::intent::SHORT_WAIT;
 use jackdawpin_core::member::Contact;
 
-use crate::intent_support::*;
-
 /// Evidence with documents, the platform answered and current at the given times, and most of three
 /// peers heard.
 fn evidence(answered: Option<u64>, current: Option<u64>, heard: Option<u64>) -> Evidence {
--- a/crates/core/tests/intent_support/mod.rs
+++ b/crates/core/tests/intent_support/mod.rs
@@ -5,6 +5,9 @@
 
 use std::sync::Mutex;
 
+use proptest::test_runner::Config as Runner;
+use proptest::test_runner::RngSeed;
+
 use jackdawpin_core::config::Builder;
 use jackdawpin_core::config::Config;
 use jackdawpin_core::config::Policy;
@@ -15,8 +18,6 @@
 use jackdawpin_core::name;
 use jackdawpin_core::port::Journal;
 use jackdawpin_core::time::Instant;
-use proptest::test_runner::Config as Runner;
-use proptest::test_runner::RngSeed;
 
 pub use jackdawpin_core::event::Event;
 pub use jackdawpin_core::event::Stamp;
--- a/crates/core/tests/intent_table.rs
+++ b/crates/core/tests/intent_table.rs
@@ -4,12 +4,11 @@
 
 use std::sync::Arc;
 
+use crate::intent_support::*;
 use jackdawpin_core::config::Config;
 use jackdawpin_core::event::MAX_TEXT;
 use jackdawpin_core::intent::Decision;
 
-use crate::intent_support::*;
-
 const NOW: u64 = 1_000;
 
 fn order(number: u64, digest: u64) -> Order {
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -8,6 +8,14 @@
 use std::net::SocketAddr;
 
 use fastrand::Rng;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestError;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use rstest::rstest;
+
 use jackdawpin_core::lease::Batch;
 use jackdawpin_core::lease::Claimant;
 use jackdawpin_core::lease::HOLD;
@@ -19,13 +27,6 @@
 use jackdawpin_core::member;
 use jackdawpin_core::name;
 use jackdawpin_core::time::Instant;
-use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestError;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
-use rstest::rstest;
 
 const MILLI: u64 = 1_000_000;
 
--- a/crates/core/tests/peers.rs
+++ b/crates/core/tests/peers.rs
@@ -2,11 +2,10 @@
 
 mod intent_support;
 
+use crate::intent_support::*;
 use jackdawpin_core::member::Capacity;
 use jackdawpin_core::member::MAX_PEERS;
 
-use crate::intent_support::*;
-
 fn with_free(clock: u64, free: &[(&str, u32)]) -> Heartbeat {
     let capacity = |(name, free): &(&str, u32)| {
         let service = service(name);
--- a/crates/core/tests/rank.rs
+++ b/crates/core/tests/rank.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rstest::rstest;
+
 use jackdawpin_core::member::List;
 use jackdawpin_core::member::Role;
 use jackdawpin_core::member::State;
 use jackdawpin_core::member::Vm;
 use jackdawpin_core::name;
 use jackdawpin_core::rank;
-use rstest::rstest;
 
 fn vm(name: &str, role: Role, place: usize, domains: usize) -> Vm {
     let domain = place % domains;
--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -2,14 +2,13 @@
 
 use std::sync::Arc;
 
-use jackdawpin_core::port::Ports;
-
 use crate::clock::Boot;
 use crate::clock::Random;
 use crate::exchange::Client;
 use crate::peer::Peer;
 use crate::reader::Reader;
 use crate::upstream::Upstream;
+use jackdawpin_core::port::Ports;
 
 /// The adapters.
 #[derive(Debug)]
--- a/crates/daemon/src/clock/mod.rs
+++ b/crates/daemon/src/clock/mod.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-use jackdawpin_core::port;
-use jackdawpin_core::time::Instant;
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
 
+use jackdawpin_core::port;
+use jackdawpin_core::time::Instant;
+
 /// Longest single wait. After a suspension a wait ends at most this much late.
 const MAX_STEP: Duration = Duration::from_millis(250);
 
--- a/crates/daemon/src/control/admin.rs
+++ b/crates/daemon/src/control/admin.rs
@@ -1,6 +1,11 @@
 use std::time::Duration;
 
 use http::Uri;
+
+use super::Error;
+use super::Listener;
+use crate::peer::convert;
+use crate::query;
 use jackdawpin_core::config::Origin;
 use jackdawpin_core::event::Record;
 use jackdawpin_core::flow::Route;
@@ -18,11 +23,6 @@
 use jackdawpin_core::time::Instant;
 use jackdawpin_wire as wire;
 
-use super::Error;
-use super::Listener;
-use crate::peer::convert;
-use crate::query;
-
 /// Events on a page of the time line.
 const PAGE: usize = 256;
 
--- a/crates/daemon/src/control/mesh.rs
+++ b/crates/daemon/src/control/mesh.rs
@@ -2,6 +2,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use volo_http::response::Response;
+
+use super::Error;
+use super::Listener;
+use super::message;
+use crate::peer::convert;
+use crate::peer::forward;
 use jackdawpin_core::control::Claim;
 use jackdawpin_core::intent::Accepted;
 use jackdawpin_core::name;
@@ -12,13 +19,6 @@
 use jackdawpin_core::request::Id;
 use jackdawpin_core::request::Request;
 use jackdawpin_wire as wire;
-use volo_http::response::Response;
-
-use super::Error;
-use super::Listener;
-use super::message;
-use crate::peer::convert;
-use crate::peer::forward;
 
 /// Longest wait for a vacancy that a peer may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -14,11 +14,6 @@
 use http::header::CONTENT_TYPE;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use jackdawpin_core::control::Control;
-use jackdawpin_core::flow::Router;
-use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Ports;
-use jackdawpin_wire as wire;
 use motore::service::Service;
 use quick_error::quick_error;
 use serde::Serialize;
@@ -30,6 +25,11 @@
 use crate::listen::body;
 use crate::metrics;
 use crate::telemetry::Telemetry;
+use jackdawpin_core::control::Control;
+use jackdawpin_core::flow::Router;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Ports;
+use jackdawpin_wire as wire;
 
 /// Largest message that is read: the largest body and its envelope.
 const MAX_BODY: usize = (64 << 20) + wire::MAX_ENVELOPE;
--- a/crates/daemon/src/exchange/idle.rs
+++ b/crates/daemon/src/exchange/idle.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
+use tokio::time::Instant;
+
 use jackdawpin_core::lock::Mutex;
 use jackdawpin_core::lock::Rank;
-use tokio::time::Instant;
 
 /// Connections kept per address. A server has a few slots and about 250 connections for all
 /// entries, so an entry keeps a small share of them.
--- a/crates/daemon/src/front/call.rs
+++ b/crates/daemon/src/front/call.rs
@@ -5,11 +5,6 @@
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use jackdawpin_core::flow::Submission;
-use jackdawpin_core::outcome::Refusal;
-use jackdawpin_core::port::Ports;
-use jackdawpin_core::request::Content;
-use jackdawpin_core::request::Id;
 use quick_error::quick_error;
 use tokio::time::Instant;
 use volo_http::request::Request;
@@ -20,6 +15,11 @@
 use super::response;
 use crate::headers;
 use crate::listen::body;
+use jackdawpin_core::flow::Submission;
+use jackdawpin_core::outcome::Refusal;
+use jackdawpin_core::port::Ports;
+use jackdawpin_core::request::Content;
+use jackdawpin_core::request::Id;
 
 quick_error! {
     /// Why a call is malformed.
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -15,9 +15,6 @@
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use jackdawpin_core::flow::Router;
-use jackdawpin_core::outcome::Refusal;
-use jackdawpin_core::port::Ports;
 use motore::service::Service;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -26,6 +23,9 @@
 use crate::listen::Context;
 use crate::query;
 use crate::telemetry::Telemetry;
+use jackdawpin_core::flow::Router;
+use jackdawpin_core::outcome::Refusal;
+use jackdawpin_core::port::Ports;
 
 /// Path that tells callers which addresses to use; query `service`.
 pub const ADDRESSES: &str = "/v1/addresses";
--- a/crates/daemon/src/front/response.rs
+++ b/crates/daemon/src/front/response.rs
@@ -5,16 +5,16 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http_body_util::Full;
-use jackdawpin_core::flow::Addresses;
-use jackdawpin_core::outcome::Outcome;
-use jackdawpin_core::outcome::Refusal;
-use jackdawpin_core::request::Id;
 use serde::Serialize;
 use volo_http::response::Response;
 
 use super::call::status;
 use crate::headers;
 use crate::listen::body;
+use jackdawpin_core::flow::Addresses;
+use jackdawpin_core::outcome::Outcome;
+use jackdawpin_core::outcome::Refusal;
+use jackdawpin_core::request::Id;
 
 const ANSWERED: &str = "answered";
 const REFUSED: &str = "refused";
--- a/crates/daemon/src/headers/mod.rs
+++ b/crates/daemon/src/headers/mod.rs
@@ -4,6 +4,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+
 use jackdawpin_core::request::Header;
 
 /// Identity of a request, echoed by servers.
--- a/crates/daemon/src/logs/line.rs
+++ b/crates/daemon/src/logs/line.rs
@@ -7,11 +7,11 @@
 use chrono::DateTime;
 use chrono::SecondsFormat;
 use chrono::Utc;
-use jackdawpin_core::name;
 use log::Record;
 use serde::Serialize;
 
 use crate::settings::Format;
+use jackdawpin_core::name;
 
 /// One message with its circumstances.
 #[derive(Debug, Clone, Copy)]
--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -13,12 +13,12 @@
 
 use fern::Dispatch;
 use fern::Output;
-use jackdawpin_core::name;
 use log::Level;
 use log::Record;
 use quick_error::quick_error;
 
 use crate::settings::Log;
+use jackdawpin_core::name;
 
 pub use self::line::Line;
 pub use self::writer::Writer;
--- a/crates/daemon/src/metrics/entry.rs
+++ b/crates/daemon/src/metrics/entry.rs
@@ -1,12 +1,12 @@
 //! Metrics of the entry as a whole.
 
-use jackdawpin_core::outcome::Refusal;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 use super::labels::ReasonLabels;
+use jackdawpin_core::outcome::Refusal;
 
 /// Metrics of the entry as a whole.
 #[derive(Debug, Clone, Default)]
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -3,13 +3,14 @@
 use std::fmt;
 use std::fmt::Write;
 
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::EncodeLabelValue;
+use prometheus_client::encoding::LabelValueEncoder;
+
 use jackdawpin_core::name;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::outcome::Refusal;
-use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::encoding::EncodeLabelValue;
-use prometheus_client::encoding::LabelValueEncoder;
 
 /// How a request ended, for its counter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -14,7 +14,6 @@
 
 use std::fmt;
 
-use jackdawpin_core::name;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -25,6 +24,7 @@
 use self::labels::EndLabels;
 use self::labels::ServiceLabels;
 use crate::listen::Counters;
+use jackdawpin_core::name;
 
 pub use self::entry::Entry;
 pub use self::labels::End;
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use jackdawpin_core::name;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -12,6 +11,7 @@
 use super::labels::End;
 use super::labels::EndLabels;
 use super::labels::ServiceLabels;
+use jackdawpin_core::name;
 
 /// Metrics of one service. Clones share the values.
 #[derive(Debug, Clone)]
--- a/crates/daemon/src/peer/forward.rs
+++ b/crates/daemon/src/peer/forward.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
--- a/crates/daemon/src/peer/mesh.rs
+++ b/crates/daemon/src/peer/mesh.rs
@@ -1,6 +1,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::Error;
+use super::Peer;
+use super::convert;
 use jackdawpin_core::control::Claim;
 use jackdawpin_core::control::Grant;
 use jackdawpin_core::control::Hello;
@@ -9,10 +12,6 @@
 use jackdawpin_core::port::Mesh;
 use jackdawpin_wire as wire;
 
-use super::Error;
-use super::Peer;
-use super::convert;
-
 impl<C: Clock> Mesh for Peer<C> {
     async fn heartbeat(
         &self,
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -16,6 +16,12 @@
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http_body_util::Full;
+use quick_error::quick_error;
+use serde::Serialize;
+
+use crate::exchange;
+use crate::exchange::Client;
+use crate::upstream;
 use jackdawpin_core::name;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
@@ -26,12 +32,6 @@
 use jackdawpin_core::request::Attempt;
 use jackdawpin_core::time::Instant;
 use jackdawpin_wire as wire;
-use quick_error::quick_error;
-use serde::Serialize;
-
-use crate::exchange;
-use crate::exchange::Client;
-use crate::upstream;
 
 /// Largest reply to a forwarded attempt in bytes: the largest body and its envelope.
 const MAX_REPLY: usize = (64 << 20) + wire::MAX_ENVELOPE;
--- a/crates/daemon/src/platform/watch.rs
+++ b/crates/daemon/src/platform/watch.rs
@@ -2,9 +2,6 @@
 
 use std::time::Duration;
 
-use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Random;
-use jackdawpin_core::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::Answer;
@@ -14,6 +11,9 @@
 use super::Key;
 use super::Sink;
 use super::http::WAIT;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Random;
+use jackdawpin_core::time::Instant;
 
 /// Time for an answer beyond the wait. The platform adds up to 1/16 of the wait (125 ms) itself,
 /// and answers within milliseconds otherwise.
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -8,15 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jackdawpin_core::control::Control;
-use jackdawpin_core::control::Identity;
-use jackdawpin_core::flow::Router;
-use jackdawpin_core::flow::Tables;
-use jackdawpin_core::port::Clock;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use self::error::Error;
+use self::sink::Sink;
 use crate::adapters::Adapters;
 use crate::clock;
 use crate::control::Listener;
@@ -30,9 +27,11 @@
 use crate::settings::Settings;
 use crate::stop::Signals;
 use crate::telemetry::Telemetry;
-
-use self::error::Error;
-use self::sink::Sink;
+use jackdawpin_core::control::Control;
+use jackdawpin_core::control::Identity;
+use jackdawpin_core::flow::Router;
+use jackdawpin_core::flow::Tables;
+use jackdawpin_core::port::Clock;
 
 /// How long a planned stop waits beyond the life of an address answer: a request that a caller sends
 /// at its end is under way for a one-way latency of about 10 ms, and callers' timers are not exact.
--- a/crates/daemon/src/run/scouts.rs
+++ b/crates/daemon/src/run/scouts.rs
@@ -2,12 +2,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio_util::sync::CancellationToken;
+
 use jackdawpin_core::flow::Router;
 use jackdawpin_core::flow::SCOUTS;
 use jackdawpin_core::name;
 use jackdawpin_core::pool::Pool;
 use jackdawpin_core::port::Ports;
-use tokio_util::sync::CancellationToken;
 
 /// Time between two looks at which services there are.
 const INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/daemon/src/run/sink.rs
+++ b/crates/daemon/src/run/sink.rs
@@ -1,14 +1,13 @@
 use std::sync::Arc;
 
+use crate::platform;
+use crate::platform::Error;
+use crate::platform::Key;
 use jackdawpin_core::control::Control;
 use jackdawpin_core::control::Kind;
 use jackdawpin_core::port::Ports;
 use jackdawpin_core::time::Instant;
 
-use crate::platform;
-use crate::platform::Error;
-use crate::platform::Key;
-
 /// Hands what the platform answers to the decisions.
 pub(super) struct Sink<O> {
     control: Arc<Control<O>>,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -4,7 +4,6 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use jackdawpin_core::name;
 use log::LevelFilter;
 
 use super::Format;
@@ -19,6 +18,7 @@
 use super::table;
 use super::table::Setting;
 use crate::listen::Limits;
+use jackdawpin_core::name;
 
 impl TryFrom<Raw> for Settings {
     type Error = Problems;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -16,10 +16,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use jackdawpin_core::name;
 use log::LevelFilter;
 
 use crate::listen::Limits;
+use jackdawpin_core::name;
 
 pub use self::help::Help;
 pub use self::problem::Problem;
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -6,6 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use self::window::Window;
+use crate::metrics::Metrics;
+use crate::metrics::Service;
 use jackdawpin_core::flow::Served;
 use jackdawpin_core::flow::Tables;
 use jackdawpin_core::lock::Mutex;
@@ -15,11 +18,6 @@
 use jackdawpin_core::outcome::Refusal;
 use jackdawpin_core::time::Instant;
 
-use crate::metrics::Metrics;
-use crate::metrics::Service;
-
-use self::window::Window;
-
 /// Metrics with a recent window of latencies per service.
 #[derive(Debug)]
 pub struct Telemetry {
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -14,6 +14,10 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
+
+use crate::exchange::Client;
+use crate::exchange::Error;
+use crate::headers;
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
@@ -24,10 +28,6 @@
 use jackdawpin_core::port::Reply;
 use jackdawpin_core::request::Attempt;
 
-use crate::exchange::Client;
-use crate::exchange::Error;
-use crate::headers;
-
 /// Largest answer in bytes; the body limit of the configuration is at most this.
 const MAX_ANSWER: usize = 64 << 20;
 
--- a/crates/daemon/src/upstream/report.rs
+++ b/crates/daemon/src/upstream/report.rs
@@ -1,7 +1,8 @@
 use http::HeaderValue;
-use jackdawpin_core::pool::Report;
 use serde::Deserialize;
 
+use jackdawpin_core::pool::Report;
+
 /// Prefix of a load report in JSON form.
 const JSON_FORM: &str = "JSON ";
 
--- a/crates/daemon/tests/listen.rs
+++ b/crates/daemon/tests/listen.rs
@@ -12,11 +12,6 @@
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use jackdawpin_daemon::listen;
-use jackdawpin_daemon::listen::Budget;
-use jackdawpin_daemon::listen::Context;
-use jackdawpin_daemon::listen::Counters;
-use jackdawpin_daemon::listen::Limits;
 use motore::service::Service;
 use prometheus_client::metrics::gauge::Gauge;
 use tokio::io::AsyncReadExt;
@@ -30,6 +25,12 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use jackdawpin_daemon::listen;
+use jackdawpin_daemon::listen::Budget;
+use jackdawpin_daemon::listen::Context;
+use jackdawpin_daemon::listen::Counters;
+use jackdawpin_daemon::listen::Limits;
+
 const MAX_BODY: usize = 16 * 1024;
 const BUDGET: usize = 20 * 1024;
 const LIMITS: Limits = Limits {
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -12,13 +12,14 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use log::Level;
+use log::Record;
+use rstest::rstest;
+
 use jackdawpin_core::name;
 use jackdawpin_daemon::logs::Line;
 use jackdawpin_daemon::logs::Writer;
 use jackdawpin_daemon::settings::Format;
-use log::Level;
-use log::Record;
-use rstest::rstest;
 
 /// Guards against lines that a reader cannot take apart, also with text from outside in the
 /// message.
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use tokio_util::sync::CancellationToken;
+
 use jackdawpin_testkit::caller::Audit;
 use jackdawpin_testkit::caller::Caller;
 use jackdawpin_testkit::caller::Options;
@@ -15,7 +17,6 @@
 use jackdawpin_testkit::fleet::Fleet;
 use jackdawpin_testkit::fleet::Layout;
 use jackdawpin_testkit::fleet::Service;
-use tokio_util::sync::CancellationToken;
 
 /// Time for a fleet to become ready.
 const READY: Duration = Duration::from_secs(20);
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -17,6 +17,15 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use motore::service::Service;
+use rstest::rstest;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Random;
 use jackdawpin_core::time::Instant;
@@ -35,14 +44,6 @@
 use jackdawpin_daemon::platform::MAX_VALUE_BYTES;
 use jackdawpin_daemon::platform::Sink;
 use jackdawpin_daemon::platform::Watch;
-use motore::service::Service;
-use rstest::rstest;
-use tokio::sync::mpsc;
-use tokio::time::sleep;
-use tokio::time::timeout;
-use tokio_util::sync::CancellationToken;
-use volo_http::request::Request;
-use volo_http::response::Response;
 
 const NAME: &str = "jackdawpin/config";
 const LIMITS: Limits = Limits {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -2,6 +2,8 @@
 
 use std::process::Command as Process;
 
+use rstest::rstest;
+
 use jackdawpin_daemon::settings::Command;
 use jackdawpin_daemon::settings::EXIT_INVALID;
 use jackdawpin_daemon::settings::Help;
@@ -9,7 +11,6 @@
 use jackdawpin_daemon::settings::Problems;
 use jackdawpin_daemon::settings::Settings;
 use jackdawpin_daemon::settings::table;
-use rstest::rstest;
 
 /// The required settings.
 const REQUIRED: [&str; 6] = [
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use jackdawpin_daemon::stop::Signals;
 use rustix::process::Signal;
 use rustix::process::getpid;
 use rustix::process::kill_process;
@@ -10,6 +9,8 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use jackdawpin_daemon::stop::Signals;
+
 /// Guards against a signal that ends the process at once, be it the first or a further one, and
 /// against one that is not noticed.
 #[tokio::test]
