--- a/crates/testkit/tests/caller.rs
+++ b/crates/testkit/tests/caller.rs
@@ -1,13 +1,20 @@
 //! The load tool: its plan, its verdicts and its checks.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
+use http::Request;
+use http::Response;
 use http::StatusCode;
+use hyper::body::Incoming;
 use rstest::rstest;
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use jackdawpin_testkit::caller::Addresses;
@@ -23,11 +30,14 @@
 use jackdawpin_testkit::caller::Target;
 use jackdawpin_testkit::caller::classify;
 use jackdawpin_testkit::caller::fetch_ledger;
+use jackdawpin_testkit::http::Body;
 use jackdawpin_testkit::http::Limits;
 use jackdawpin_testkit::http::NOT_RUN;
 use jackdawpin_testkit::http::OUTCOME;
 use jackdawpin_testkit::http::REQUEST_ID;
 use jackdawpin_testkit::http::Whole;
+use jackdawpin_testkit::http::json;
+use jackdawpin_testkit::http::serve;
 use jackdawpin_testkit::server::Entry;
 use jackdawpin_testkit::server::Options as ServerOptions;
 use jackdawpin_testkit::server::Service;
@@ -191,3 +201,46 @@
     let audit = Audit::of(&records, &[ledger]);
     assert!(audit.is_clean(), "{audit}");
 }
+
+/// Answers as an entry does: with addresses (its own and one where nobody listens), and with the outcome of a call.
+fn answer(own: SocketAddr, asked: &AtomicU64, request: &Request<Incoming>) -> Response<Body> {
+    if request.uri().path() == "/v1/addresses" {
+        asked.fetch_add(1, Ordering::Relaxed);
+        let dead = SocketAddr::from(([127, 0, 0, 1], 1));
+        let list = format!(
+            r#"{{"addresses":[{{"address":"{own}","weight":1}},{{"address":"{dead}","weight":1}}],"ttl_ms":200}}"#
+        );
+        return json(StatusCode::OK, list);
+    }
+    let id = request.headers().get(REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let mut response = json(StatusCode::OK, format!(r#"{{"id":"{id}"}}"#));
+    response.headers_mut().insert(OUTCOME, HeaderValue::from_static("answered"));
+    response
+}
+
+/// Guards against a caller that asks for addresses more often than their time to live says, or that counts a request
+/// as failed although it was never sent.
+#[tokio::test]
+async fn calls_through_entries() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let own = listener.local_addr().unwrap();
+    let asked = Arc::new(AtomicU64::new(0));
+    let count = Arc::clone(&asked);
+    tokio::spawn(async move {
+        let handler = move |request: Request<Incoming>| {
+            let response = answer(own, &count, &request);
+            async move { Ok(response) }
+        };
+        let cancel = CancellationToken::new();
+        serve(listener, Limits::default(), Arc::default(), &cancel, handler).await;
+    });
+    let time = Duration::from_millis(500);
+    let options = Options { pace: Pace::Open(200.0), time, ..Options::default() };
+    let target = Target::Entries { first: vec![own], service: "lookup".to_owned() };
+    let records =
+        Caller::new(options, &[target]).await.unwrap().run(&CancellationToken::new()).await;
+    let report = Report::of(&records);
+    assert!(report.sent > 50 && report.answered == report.sent, "{report}");
+    assert!(report.moves > 0, "no request met the address where nobody listens");
+    assert!((2..=4).contains(&asked.load(Ordering::Relaxed)), "asked {asked:?} times");
+}
--- a/crates/testkit/tests/server_model.rs
+++ b/crates/testkit/tests/server_model.rs
@@ -12,6 +12,7 @@
 use jackdawpin_testkit::server::Admission;
 use jackdawpin_testkit::server::Arrival;
 use jackdawpin_testkit::server::Fault;
+use jackdawpin_testkit::server::Journal;
 use jackdawpin_testkit::server::Manner;
 use jackdawpin_testkit::server::Mislead;
 use jackdawpin_testkit::server::Model;
@@ -179,6 +180,31 @@
     assert_eq!(model.phase(usual), Phase::Running(WORK));
 }
 
+/// Guards against a ledger that changes on its way through a file, and against a file that cannot be read because its
+/// process was killed while writing.
+#[test]
+fn journal() {
+    let mut model = Model::new(options(false));
+    enter(&mut model, ms(0), "a").expect("room");
+    arrive(&mut model, ms(1), "b");
+    model.drain(ms(2));
+    arrive(&mut model, ms(3), "c");
+    let file = std::env::temp_dir().join(format!("jackdawpin-journal-{}", std::process::id()));
+    let mut journal = Journal::open(&file).unwrap();
+    journal.write(&model.take_events()).unwrap();
+    assert_eq!(model.take_events(), []);
+    let mut text = std::fs::read_to_string(&file).unwrap();
+    text.push_str("{\"start\":{\"id\":\"d");
+    std::fs::write(&file, text).unwrap();
+    let ledger = Journal::read(&file);
+    std::fs::remove_file(&file).unwrap();
+    let ledger = ledger.unwrap();
+    assert!(ledger.entries().eq(model.ledger().entries()));
+    assert_eq!((ledger.runs("a"), ledger.runs("b"), ledger.runs("c")), (1, 1, 0));
+    assert_eq!(ledger.counts.overruns, model.ledger().counts.overruns);
+    assert_eq!((ledger.counts.overrun, ledger.counts.while_draining), (1, 1));
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Arrive,
