Ask all holders of a small service for a vacancy, and report claims once

Cause: three scouts asked random peers and all slept on one notification that woke a single scout; a peer with a free place could go unnoticed for 500 ms. A server that became cold reported its long expired claim as ended. Ruled out: asking all peers at once, which would need a task for each pair of service and peer. After: eight scouts share the holders, all wake when a request waits, and a claim is reported when it is confirmed and when it ends, not when it expires after the server has become warm.

--- a/crates/core/src/control/beat.rs
+++ b/crates/core/src/control/beat.rs
@@ -7,6 +7,7 @@
 use super::Hello;
 use crate::member::Capacity;
 use crate::member::Heartbeat;
+use crate::member::MAX_PEERS;
 use crate::member::Origin;
 use crate::member::Role;
 use crate::member::Vm;
@@ -85,10 +86,20 @@
         let Some(answer) = answer else {
             return;
         };
-        self.contacts.lock().insert(answer.from.clone(), other.address);
+        self.met(&answer.from, other.address);
         self.take(answer, Origin::Answer { asked });
     }
 
+    /// Remembers where a peer answered. The number is bounded, because seeds may name themselves
+    /// differently with each answer.
+    fn met(&self, vm: &name::Vm, address: SocketAddr) {
+        let mut contacts = self.contacts.lock();
+        if contacts.len() >= MAX_PEERS && !contacts.contains_key(vm) {
+            contacts.clear();
+        }
+        contacts.insert(vm.clone(), address);
+    }
+
     fn take(&self, hello: Hello, origin: Origin) {
         let now = self.clock().now();
         self.tables.timeline.receive(self.clock().wall_millis(), hello.beat.clock);
--- a/crates/core/src/flow/scout.rs
+++ b/crates/core/src/flow/scout.rs
@@ -12,8 +12,9 @@
 use crate::port::Random;
 use crate::time::Instant;
 
-/// Scouts per service, and so the number of peers asked for a vacancy at once.
-pub const SCOUTS: usize = 3;
+/// Scouts per service, and so the number of peers asked for a vacancy at once. Each one asks its own
+/// share of the peers, so that all holders of a small service are asked.
+pub const SCOUTS: usize = 8;
 
 /// Longest wait for a vacancy at one peer, after which another peer may be asked.
 const WAIT: Duration = Duration::from_millis(500);
@@ -22,12 +23,13 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 impl<O: Ports> Router<O> {
-    /// Looks for room at peers while requests wait for the service, until cancelled.
-    pub async fn scout(&self, pool: &Pool, cancel: &CancellationToken) {
+    /// Looks for room at peers while requests wait for the service, until cancelled. `number` is the
+    /// number of this scout, below [`SCOUTS`].
+    pub async fn scout(&self, pool: &Pool, number: usize, cancel: &CancellationToken) {
         let search = async {
             loop {
                 pool.demand().await;
-                self.search(pool).await;
+                self.search(pool, number).await;
             }
         };
         tokio::select! {
@@ -36,12 +38,16 @@
         }
     }
 
-    async fn search(&self, pool: &Pool) {
+    async fn search(&self, pool: &Pool, number: usize) {
         let start = self.clock().now();
         let service = pool.service();
-        let holders = self.tables.peers.holding(service.as_str(), start);
-        let index = self.ports.random().below(holders.len() as u64) as usize;
-        let free = match holders.get(index).and_then(|room| self.contact(&room.vm)) {
+        let mut holders = self.tables.peers.holding(service.as_str(), start);
+        // The shares of the scouts must not depend on how much room the peers have.
+        holders.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
+        let share = holders.len().saturating_sub(number).div_ceil(SCOUTS);
+        let turn = self.ports.random().below(share as u64) as usize;
+        let free = match holders.get(number + turn * SCOUTS).and_then(|room| self.contact(&room.vm))
+        {
             Some(holder) => self.ask(&holder, pool, start + WAIT).await,
             None => 0,
         };
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -15,6 +15,7 @@
 mod ticket;
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 
 use tokio::sync::Notify;
@@ -168,7 +169,7 @@
         if !queued {
             return None;
         }
-        self.demand.notify_one();
+        self.demand.notify_waiters();
         Some(Ticket::new(self.clone(), receiver))
     }
 
@@ -237,10 +238,13 @@
     /// Waits until a request waits here.
     pub async fn demand(&self) {
         loop {
+            let mut notified = pin!(self.demand.notified());
+            // Registered before the check, so that a request that comes in between is not missed.
+            notified.as_mut().enable();
             if self.waiting() > 0 {
                 return;
             }
-            self.demand.notified().await;
+            notified.await;
         }
     }
 
--- a/crates/core/src/pool/server.rs
+++ b/crates/core/src/pool/server.rs
@@ -79,6 +79,8 @@
     in_flight: u32,
     lingering: SmallVec<[Instant; 4]>,
     claim: Option<Instant>,
+    /// Whether the last change reported was that the claim is confirmed.
+    confirmed: bool,
 }
 
 impl Server {
@@ -90,6 +92,7 @@
             in_flight: 0,
             lingering: SmallVec::new(),
             claim: None,
+            confirmed: false,
         }
     }
 
@@ -174,9 +177,12 @@
 
     /// For a server that needs a claim, returns whether it is confirmed if that has changed.
     pub(super) fn set_claim(&mut self, now: Instant, until: Option<Instant>) -> Option<bool> {
-        let (was, is) = (self.claim.is_some(), until.is_some_and(|until| now < until));
         self.claim = until;
-        (self.needs_claim() && was != is).then_some(is)
+        let confirmed = self.needs_claim() && until.is_some_and(|until| now < until);
+        let changed = confirmed != self.confirmed;
+        self.confirmed = confirmed;
+        // The claim on a server that has become warm just expires.
+        (changed && self.needs_claim()).then_some(confirmed)
     }
 
     /// Expected time until one more request would be answered.
--- a/crates/daemon/src/run/scouts.rs
+++ b/crates/daemon/src/run/scouts.rs
@@ -40,8 +40,8 @@
 }
 
 fn spawn<O: Ports>(router: &Arc<Router<O>>, pool: &Arc<Pool>, cancel: &CancellationToken) {
-    for _ in 0..SCOUTS {
+    for number in 0..SCOUTS {
         let (router, pool, cancel) = (router.clone(), pool.clone(), cancel.clone());
-        tokio::spawn(async move { router.scout(&pool, &cancel).await });
+        tokio::spawn(async move { router.scout(&pool, number, &cancel).await });
     }
 }
