Give a resent id an unknown outcome, and bound the bodies of answers

Cause: a request whose id was in flight was refused as not run, although the request with that id was running; a caller that resends after a broken connection would take the refusal as proof and order twice. Bodies of answers were bounded at 64 MiB each and counted against no budget. Ruled out: joining the resent request to the one in flight, which would keep its outcome beyond the end of its caller. After: the outcome of such a request is unknown (409, duplicate_id); an answer has at most the service's body limit and counts against the budget of buffered bytes.

--- a/crates/core/src/flow/admit.rs
+++ b/crates/core/src/flow/admit.rs
@@ -5,6 +5,8 @@
 use super::Router;
 use crate::config::Service;
 use crate::ledger::Entry;
+use crate::outcome::Doubt;
+use crate::outcome::Outcome;
 use crate::outcome::Refusal;
 use crate::port::Clock;
 use crate::port::Ports;
@@ -36,7 +38,20 @@
 }
 
 impl<O: Ports> Router<O> {
-    pub(super) fn admit(&self, submission: Submission) -> Result<Admission, Refusal> {
+    /// Admits a request, or says how it has ended already. A request whose id is in flight has an
+    /// unknown outcome: calling it "not run" would be wrong for the one that runs.
+    pub(super) fn admit(&self, submission: Submission) -> Result<Admission, Outcome> {
+        let (route, request) = self.check(submission)?;
+        let entry = self
+            .tables
+            .ledger
+            .admit(&request.service, &request.id)
+            .ok_or(Outcome::Unknown(Doubt::Duplicate))?;
+        route.retries().lock().earn();
+        Ok(Admission { entry, route, request })
+    }
+
+    fn check(&self, submission: Submission) -> Result<(Arc<Route>, Request), Refusal> {
         let now = self.clock().now();
         self.tables.gate.admits(now)?;
         let route = self.tables.routes().get(&submission.service).ok_or(Refusal::UnknownService)?;
@@ -62,10 +77,7 @@
             idempotent,
             content: submission.content,
         };
-        let entry =
-            self.tables.ledger.admit(&request.service, &request.id).ok_or(Refusal::Duplicate)?;
-        route.retries().lock().earn();
-        Ok(Admission { entry, route, request })
+        Ok((route, request))
     }
 
     /// A new random id, for a request whose caller gave none.
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -175,7 +175,7 @@
                 admission.entry.end(&outcome);
                 outcome
             }
-            Err(refusal) => Outcome::Refused(refusal),
+            Err(outcome) => outcome,
         };
         Served { outcome, trace }
     }
@@ -192,7 +192,9 @@
         };
         let evidence = match route.pool().acquire(now, request.idempotent) {
             Some(permit) => {
-                let attempt = Attempt { request, number, deadline: request.deadline };
+                let max_answer = route.settings().policy.body_limit;
+                let deadline = request.deadline;
+                let attempt = Attempt { request, number, deadline, max_answer };
                 self.dispatch(&route, permit, attempt).await
             }
             None => Evidence::NotRun(NotRun::Refused(Refusal::Full)),
--- a/crates/core/src/outcome/mod.rs
+++ b/crates/core/src/outcome/mod.rs
@@ -33,8 +33,6 @@
         UnknownService { display("unknown_service") }
         /// The request breaks a limit or is malformed.
         Invalid { display("invalid_request") }
-        /// The same request id is already in flight on this entry.
-        Duplicate { display("duplicate_id") }
         /// Too many requests wait for the service.
         QueueFull { display("queue_full") }
         /// No server had room before the deadline.
@@ -60,6 +58,8 @@
         Timeout { display("timeout") }
         /// The answer was cut, too large, or belongs to another request.
         BadAnswer { display("bad_answer") }
+        /// A request with the same id is in flight on this entry, and may run.
+        Duplicate { display("duplicate_id") }
     }
 }
 
@@ -87,6 +87,12 @@
     }
 }
 
+impl From<Refusal> for Outcome {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
 /// How a request ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -108,4 +108,6 @@
     pub number: u32,
     /// When the work must have ended; never after the request's deadline.
     pub deadline: Instant,
+    /// Largest body of an answer, in bytes.
+    pub max_answer: u64,
 }
--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -5,6 +5,7 @@
 use crate::clock::Boot;
 use crate::clock::Random;
 use crate::exchange::Client;
+use crate::listen::Budget;
 use crate::peer::Peer;
 use crate::reader::Reader;
 use crate::upstream::Upstream;
@@ -20,9 +21,10 @@
     reader: Reader,
 }
 
-impl Default for Adapters {
-    fn default() -> Self {
-        let client = Arc::new(Client::default());
+impl Adapters {
+    /// Creates the adapters. The bodies of answers count against `budget`.
+    pub fn new(budget: Budget) -> Self {
+        let client = Arc::new(Client::new(budget));
         Self {
             clock: Boot,
             random: Random,
--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -17,9 +17,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -27,6 +25,8 @@
 
 use self::idle::Idle;
 use self::idle::Sender;
+use crate::listen::Budget;
+use crate::listen::body;
 
 pub use self::error::Error;
 
@@ -47,12 +47,18 @@
 }
 
 /// A pool of connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Client {
     idle: Idle,
+    budget: Budget,
 }
 
 impl Client {
+    /// Creates a client without connections. The bodies of answers count against `budget`.
+    pub fn new(budget: Budget) -> Self {
+        Self { idle: Idle::default(), budget }
+    }
+
     /// Sends a request and returns its whole answer, which has at most `limit` bytes of body.
     ///
     /// # Errors
@@ -119,10 +125,9 @@
         limit: usize,
     ) -> Result<Response<Bytes>, Error> {
         let (parts, body) = response.into_parts();
-        let body = match Limited::new(body, limit).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(err) => return Err(Error::Answer(err.to_string())),
-        };
+        // The exchange as a whole has a time limit, so the body needs none of its own.
+        let body = body::read(body, limit, Duration::MAX, &self.budget).await;
+        let body = body.map_err(|err| Error::Answer(err.to_string()))?;
         self.idle.put(address, sender);
         Ok(Response::from_parts(parts, body))
     }
--- a/crates/daemon/src/front/call.rs
+++ b/crates/daemon/src/front/call.rs
@@ -118,7 +118,6 @@
     match refusal {
         Refusal::Invalid => StatusCode::BAD_REQUEST,
         Refusal::UnknownService => StatusCode::NOT_FOUND,
-        Refusal::Duplicate => StatusCode::CONFLICT,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/daemon/src/front/response.rs
+++ b/crates/daemon/src/front/response.rs
@@ -12,6 +12,7 @@
 use crate::headers;
 use crate::listen::body;
 use jackdawpin_core::flow::Addresses;
+use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::outcome::Refusal;
 use jackdawpin_core::request::Id;
@@ -85,12 +86,9 @@
             response
         }
         Outcome::Refused(refusal) => refused(refusal, explain(refusal)),
-        Outcome::Unknown(doubt) => failure(
-            StatusCode::BAD_GATEWAY,
-            UNKNOWN,
-            &doubt.to_string(),
-            "the request may have run",
-        ),
+        Outcome::Unknown(doubt) => {
+            failure(doubtful(doubt), UNKNOWN, &doubt.to_string(), "the request may have run")
+        }
     };
     if let Ok(value) = HeaderValue::from_str(id.as_str()) {
         response.headers_mut().insert(headers::REQUEST_ID, value);
@@ -98,6 +96,14 @@
     response
 }
 
+/// Status code for a request that may have run.
+fn doubtful(doubt: Doubt) -> StatusCode {
+    match doubt {
+        Doubt::Duplicate => StatusCode::CONFLICT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
 /// What a refusal means, for a person.
 pub(super) fn explain(refusal: Refusal) -> &'static str {
     match refusal {
@@ -106,7 +112,6 @@
         Refusal::NotReady => "this entry has no configuration yet; use another one",
         Refusal::UnknownService => "the service is not in the configuration in force",
         Refusal::Invalid => "the request breaks a limit or is malformed",
-        Refusal::Duplicate => "a request with this id is in flight",
         Refusal::QueueFull => "too many requests wait for the service",
         Refusal::Deadline => "no server had room before the deadline",
         Refusal::NoServer => "no server of the service may receive work",
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -34,7 +34,6 @@
         End::Refused(Refusal::NotReady),
         End::Refused(Refusal::UnknownService),
         End::Refused(Refusal::Invalid),
-        End::Refused(Refusal::Duplicate),
         End::Refused(Refusal::QueueFull),
         End::Refused(Refusal::Deadline),
         End::Refused(Refusal::NoServer),
@@ -44,6 +43,7 @@
         End::Unknown(Doubt::Broken),
         End::Unknown(Doubt::Timeout),
         End::Unknown(Doubt::BadAnswer),
+        End::Unknown(Doubt::Duplicate),
         End::GivenUp,
     ];
 
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -33,9 +33,6 @@
 use jackdawpin_core::time::Instant;
 use jackdawpin_wire as wire;
 
-/// Largest reply to a forwarded attempt in bytes: the largest body and its envelope.
-const MAX_REPLY: usize = (64 << 20) + wire::MAX_ENVELOPE;
-
 /// Time by which a vacancy notice may come later than asked for.
 const NOTICE_GRACE: Duration = Duration::from_millis(200);
 
@@ -145,7 +142,9 @@
             return evidence(Evidence::NotRun(NotRun::NotSent));
         };
         let path = wire::path::FORWARD;
-        match self.call(address, Method::POST, path, body.into(), left, MAX_REPLY).await {
+        let answer = usize::try_from(attempt.max_answer).unwrap_or(usize::MAX);
+        let limit = answer.saturating_add(wire::MAX_ENVELOPE);
+        match self.call(address, Method::POST, path, body.into(), left, limit).await {
             Ok(bytes) => forward::decode(&attempt, &bytes),
             Err(Error::Exchange(err)) => {
                 log::debug!("forward of {} to {vm} failed: {err}", attempt.request.id);
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -106,7 +106,6 @@
 
 impl Daemon {
     fn new(settings: Settings) -> Self {
-        let ports = Arc::new(Adapters::default());
         let identity = Identity {
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
@@ -120,6 +119,7 @@
         let telemetry = Arc::new(Telemetry::default());
         let buffered = telemetry.metrics().entry.buffered.clone();
         let budget = Budget::new(settings.max_buffered_bytes, buffered);
+        let ports = Arc::new(Adapters::new(budget.clone()));
         let seeds = settings.seeds.clone();
         Self {
             router: Arc::new(Router::new(tables.clone(), ports.clone())),
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -28,9 +28,6 @@
 use jackdawpin_core::port::Reply;
 use jackdawpin_core::request::Attempt;
 
-/// Largest answer in bytes; the body limit of the configuration is at most this.
-const MAX_ANSWER: usize = 64 << 20;
-
 /// Largest answer to a probe in bytes.
 const MAX_REPORT: usize = 16 << 10;
 
@@ -57,7 +54,8 @@
         let Some(request) = request(address, &attempt, left) else {
             return not_sent();
         };
-        match self.client.exchange(address, request, left, MAX_ANSWER).await {
+        let limit = usize::try_from(attempt.max_answer).unwrap_or(usize::MAX);
+        match self.client.exchange(address, request, left, limit).await {
             Ok(response) => reply(&attempt, response),
             Err(err) => {
                 log::debug!("attempt {} at {} failed: {err}", attempt.request.id, address);
