--- a/crates/core/src/control/probe.rs
+++ b/crates/core/src/control/probe.rs
@@ -8,6 +8,7 @@
 use super::Control;
 use crate::flow::Route;
 use crate::lease::Target;
+use crate::name;
 use crate::port::Clock;
 use crate::port::Ports;
 use crate::port::Upstream;
@@ -27,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Probes {
     budgets: HashMap<Target, Account>,
+    /// Probes sent since the start, by service.
+    sent: HashMap<name::Service, u64>,
 }
 
 #[derive(Debug)]
@@ -62,6 +65,11 @@
         self.probes.lock().budgets.get(target).map_or(0, |account| account.sent)
     }
 
+    /// Probes sent to servers of a service since the start.
+    pub fn probes_of(&self, service: &str) -> u64 {
+        self.probes.lock().sent.get(service).copied().unwrap_or(0)
+    }
+
     fn due(&self) -> Vec<Due> {
         let now = self.clock().now();
         let mut due = Vec::new();
@@ -90,6 +98,7 @@
         account.budget.set(now, limit, random);
         let spent = account.budget.due(now, reported, FRESH) && account.budget.take(now);
         account.sent += u64::from(spent);
+        *probes.sent.entry(target.service.clone()).or_default() += u64::from(spent);
         spent
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -150,7 +150,8 @@
 
     fn metrics(&self) -> Response<Full<Bytes>> {
         let now = self.router.clock().now();
-        match self.telemetry.text(self.router.tables(), now) {
+        let probes = |service: &str| self.control.probes_of(service);
+        match self.telemetry.text(self.router.tables(), now, probes) {
             Ok(exposition) => {
                 let mut response = Response::new(Full::new(Bytes::from(exposition)));
                 let kind = HeaderValue::from_static(metrics::CONTENT_TYPE);
--- a/crates/daemon/src/run/sink.rs
+++ b/crates/daemon/src/run/sink.rs
@@ -3,6 +3,7 @@
 use crate::platform;
 use crate::platform::Error;
 use crate::platform::Key;
+use crate::telemetry::Telemetry;
 use jackdawpin_core::control::Control;
 use jackdawpin_core::control::Kind;
 use jackdawpin_core::port::Ports;
@@ -11,20 +12,23 @@
 /// Hands what the platform answers to the decisions.
 pub(super) struct Sink<O> {
     control: Arc<Control<O>>,
+    telemetry: Arc<Telemetry>,
 }
 
 impl<O: Ports> Sink<O> {
-    pub(super) fn new(control: Arc<Control<O>>) -> Self {
-        Self { control }
+    pub(super) fn new(control: Arc<Control<O>>, telemetry: Arc<Telemetry>) -> Self {
+        Self { control, telemetry }
     }
 }
 
 impl<O: Ports> platform::Sink for Sink<O> {
     fn read(&self, key: Key, value: &[u8], asked: Instant) {
+        self.telemetry.metrics().entry.platform_reads.inc();
         self.control.platform_read(kind(key), value, asked);
     }
 
     fn failed(&self, key: Key, error: &Error, asked: Instant) {
+        self.telemetry.metrics().entry.platform_failures.inc();
         log::debug!("read of {key} from the platform failed: {error}");
         if matches!(error, Error::Absent) {
             self.control.platform_missing(kind(key), asked);
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use self::window::Window;
+use crate::metrics::End;
 use crate::metrics::Metrics;
 use crate::metrics::Service;
 use jackdawpin_core::flow::Served;
 use jackdawpin_core::flow::Tables;
+use jackdawpin_core::ledger::Totals;
 use jackdawpin_core::lock::Mutex;
 use jackdawpin_core::lock::Rank;
 use jackdawpin_core::name;
@@ -30,6 +32,28 @@
 struct Series {
     metrics: Service,
     recent: Mutex<Window>,
+    counted: Mutex<Counted>,
+}
+
+/// What the counters have taken over from the tables.
+#[derive(Debug, Default)]
+struct Counted {
+    accepted: u64,
+    abandoned: u64,
+    probes: u64,
+}
+
+impl Series {
+    /// Adds what the tables have counted since the last call.
+    fn count(&self, totals: &Totals, probes: u64) {
+        let mut counted = self.counted.lock();
+        self.metrics.accepted.inc_by(totals.accepted.saturating_sub(counted.accepted));
+        self.metrics.probes.inc_by(probes.saturating_sub(counted.probes));
+        for _ in counted.abandoned..totals.abandoned {
+            self.metrics.ended(End::GivenUp);
+        }
+        *counted = Counted { accepted: totals.accepted, abandoned: totals.abandoned, probes };
+    }
 }
 
 impl Default for Telemetry {
@@ -52,7 +76,6 @@
         };
         let trace = &served.trace;
         series.metrics.ended(&served.outcome);
-        series.metrics.accepted.inc();
         series.metrics.retries.inc_by(trace.retried.into());
         series.metrics.forwards.inc_by(trace.forwarded.into());
         if matches!(served.outcome, Outcome::Answered(_)) {
@@ -75,13 +98,23 @@
         series.map_or_else(Default::default, |series| series.recent.lock().percentiles())
     }
 
-    /// Brings the gauges up to date and returns the text exposition.
-    pub fn text(&self, tables: &Tables, now: Instant) -> Result<String, std::fmt::Error> {
-        self.refresh(tables, now);
+    /// Brings the metrics up to date and returns the text exposition. `probes` gives the probes sent
+    /// to servers of a service.
+    ///
+    /// # Errors
+    ///
+    /// A metric has no encoding.
+    pub fn text(
+        &self,
+        tables: &Tables,
+        now: Instant,
+        probes: impl Fn(&str) -> u64,
+    ) -> Result<String, std::fmt::Error> {
+        self.refresh(tables, now, probes);
         self.metrics.text()
     }
 
-    fn refresh(&self, tables: &Tables, now: Instant) {
+    fn refresh(&self, tables: &Tables, now: Instant, probes: impl Fn(&str) -> u64) {
         let entry = &self.metrics.entry;
         let (config, list) = tables.intent.orders();
         entry.fenced.set(tables.gate.is_fenced(now).into());
@@ -96,6 +129,7 @@
                 continue;
             };
             let totals = tables.ledger.totals(service.as_str());
+            series.count(&totals, probes(service.as_str()));
             series.metrics.in_flight.set(signed(totals.in_flight));
             series.metrics.waiting.set(signed(route.pool().waiting() as u64));
             series.metrics.limit.set(route.pool().room(now).limit.into());
@@ -119,12 +153,13 @@
         let series = Arc::new(Series {
             metrics: self.metrics.service(name),
             recent: Mutex::new(Rank::Telemetry, Window::default()),
+            counted: Mutex::new(Rank::Telemetry, Counted::default()),
         });
         Some(self.services.lock().entry(name.clone()).or_insert(series).clone())
     }
 }
 
-impl From<Refusal> for crate::metrics::End {
+impl From<Refusal> for End {
     fn from(refusal: Refusal) -> Self {
         Self::Refused(refusal)
     }
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -17,6 +17,7 @@
 use jackdawpin_testkit::fleet::Fleet;
 use jackdawpin_testkit::fleet::Layout;
 use jackdawpin_testkit::fleet::Service;
+use jackdawpin_testkit::http::fetch;
 
 /// Time for a fleet to become ready.
 const READY: Duration = Duration::from_secs(20);
@@ -38,6 +39,21 @@
     caller.run(&CancellationToken::new()).await
 }
 
+/// Requests that the entries have accepted, by their metrics.
+async fn accepted(fleet: &Fleet) -> u64 {
+    let mut sum = 0;
+    for address in fleet.controls() {
+        let whole = fetch(address, "GET", "/metrics", "", READY).await.unwrap();
+        let text = String::from_utf8(whole.body.to_vec()).unwrap();
+        let values = text
+            .lines()
+            .filter(|line| line.starts_with("jackdawpin_requests_accepted_total{"))
+            .filter_map(|line| line.rsplit(' ').next());
+        sum += values.map(|value| value.parse::<u64>().unwrap()).sum::<u64>();
+    }
+    sum
+}
+
 fn options(rate: f64, seconds: u64, idempotent: f64) -> Options {
     Options {
         pace: Pace::Open(rate),
@@ -60,7 +76,8 @@
         load(&fleet, "orders", options(50.0, 5, 0.0)),
     );
     let (warm_alerts, warm_orders) = tokio::join!(warm_up.0, warm_up.1);
-    println!("warm-up: {}", Report::of(warm_alerts.iter().chain(&warm_orders)));
+    let warm_up_report = Report::of(warm_alerts.iter().chain(&warm_orders));
+    println!("warm-up: {warm_up_report}");
     let lookups = load(&fleet, "alerts", options(400.0, 4, 0.9));
     let orders = load(&fleet, "orders", options(100.0, 4, 0.0));
     let (lookups, orders) = tokio::join!(lookups, orders);
@@ -74,6 +91,7 @@
     assert!(report.balanced && report.unexplained == 0, "{report}");
     assert!(audit.is_clean(), "{audit:?}");
     assert!(report.answered * 100 >= report.sent * 99, "{report}");
+    assert_eq!(accepted(&fleet).await, report.sent + warm_up_report.sent, "the metrics differ");
     let overrun: u64 = ledgers.iter().map(|ledger| ledger.counts.overrun).sum();
     assert_eq!(overrun, 0, "a cold server got more than it can bear");
 }
