limit: do not take lagging probes and impatient callers for signs of the server

Cause: a report with a new boot id that also says "draining" returned before the restart was looked at, so that the server came back from draining with its old limit. A probe that says nothing of draining ended a drain that an answer had announced a moment before. A timeout of a caller that allowed 1 ms made a warm server cold.

Conclusion: a timeout makes a server cold only if it is as long as an abnormal answer.

--- a/crates/core/src/pool/limit.rs
+++ b/crates/core/src/pool/limit.rs
@@ -168,17 +168,19 @@
             Kind::Shed => self.shed(),
             Kind::NotSent => self.failed(now, "no connection", 1),
             Kind::Broken => self.failed(now, "broken connection", 1),
-            Kind::Timeout => self.cold("timeout"),
+            Kind::Timeout => self.timed_out(sample.latency),
         };
         reported.or(shown)
     }
 
-    /// Takes over a report from a probe. Probes lag, so a probe that says "cold" is ignored while a
-    /// recent answer said "warm", and a probe that says "warm" shows nothing by itself.
+    /// Takes over a report from a probe. Probes lag, so one that says "cold" is ignored while a
+    /// recent answer said "warm", and one that does not say "draining" while a recent answer did. A
+    /// probe that says "warm" shows nothing by itself.
     pub fn probed(&mut self, now: Instant, report: Report) -> Option<Change> {
         let recent = self.answered_at.is_some_and(|at| now.since(at) < PROBE_LAG);
-        let contradicted = recent && self.warm_report == Some(true) && !report.warm;
-        if contradicted && self.boot == Some(report.boot) && !report.draining {
+        let cools = self.warm_report == Some(true) && !report.warm;
+        let contradicted = recent && !report.draining && (cools || self.draining);
+        if contradicted && self.boot == Some(report.boot) {
             return None;
         }
         self.read(now, report)
@@ -191,22 +193,24 @@
         self.warm_report = Some(report.warm);
         let drains = report.draining && !self.draining;
         self.draining = report.draining;
-        if drains {
-            return Some(Change::Draining);
-        }
-        if restarted {
-            self.samples = 0;
-            return self.cold("started again");
-        }
-        if report.warm { None } else { self.cold("reports to be cold") }
+        let cold = match (restarted, report.warm) {
+            (true, _) => self.restarted(),
+            (false, true) => None,
+            (false, false) => self.cold("reports to be cold"),
+        };
+        if drains { Some(Change::Draining) } else { cold }
+    }
+
+    fn restarted(&mut self) -> Option<Change> {
+        self.samples = 0;
+        self.cold("started again")
     }
 
     fn answered(&mut self, latency: Duration) -> Option<Change> {
-        let known = self.samples >= self.tuning.warm_after;
-        let slow = latency > SLOW_FLOOR && latency > self.estimate * self.tuning.cold_factor;
+        let slow = self.known() && self.is_slow(latency);
         self.smooth(latency);
         self.failures = 0;
-        if known && slow {
+        if slow {
             return self.cold("slow answer");
         }
         self.streak += 1;
@@ -216,6 +220,24 @@
         self.grow()
     }
 
+    /// A caller may allow less time than the server usually takes, which shows nothing about the
+    /// server.
+    fn timed_out(&mut self, latency: Duration) -> Option<Change> {
+        if self.known() && !self.is_slow(latency) {
+            return None;
+        }
+        self.cold("timeout")
+    }
+
+    /// Whether enough answers came to tell a usual latency.
+    fn known(&self) -> bool {
+        self.samples >= self.tuning.warm_after
+    }
+
+    fn is_slow(&self, latency: Duration) -> bool {
+        latency > SLOW_FLOOR && latency > self.estimate * self.tuning.cold_factor
+    }
+
     fn grow(&mut self) -> Option<Change> {
         self.streak = 0;
         self.current = (self.current + 1).min(self.tuning.full);
