pool: check places again before the send, keep the order of the queue

Cause: a place was checked when it was taken, not when it was used. A waiting request gets its place some time before it runs, and in between its server could be taken out, lose its claim, or become cold. A server that this entry lost and held again started with nothing in flight, although requests from before still ran at it. A place that time alone had freed (end of a lingering attempt or of a rest) went to a later request before the next tick served the queue, and a place that became free between the first try and the queue was not seen. A place that was put back was handed on with the time at which it had been taken, under claims that had ended since, so that waiting requests could pass it around until the next tick.

Ruled out: a shorter claim and a tick per request; both leave the gap.

Conclusion: Pool::confirm is the last check before each send; servers with work in flight are kept when they are lost. Refusals of an own place no longer count as refusals of peers.

--- a/crates/core/src/control/probe.rs
+++ b/crates/core/src/control/probe.rs
@@ -101,11 +101,11 @@
             return;
         };
         let report = self.ports.upstream().probe(due.address, TIMEOUT).await;
-        pool.put_back(permit);
+        let now = self.clock().now();
+        pool.put_back(now, permit);
         let Some(report) = report else {
             return;
         };
-        let now = self.clock().now();
         if let Some(notice) = pool.report(now, &due.target.server, report) {
             self.tables.notice(&self.journal(), &due.target.service, notice);
         }
--- a/crates/core/src/flow/attempt.rs
+++ b/crates/core/src/flow/attempt.rs
@@ -16,6 +16,7 @@
 use crate::port::Ports;
 use crate::port::Upstream;
 use crate::request::Attempt;
+use crate::time::Instant;
 
 /// First status code that says that the server failed.
 const SERVER_ERROR: u16 = 500;
@@ -43,18 +44,18 @@
     pub(super) async fn dispatch(
         &self,
         route: &Route,
-        permit: Permit,
+        mut permit: Permit,
         mut attempt: Attempt<'_>,
     ) -> Evidence {
         let pool = route.pool();
         let now = self.clock().now();
+        if let Err(refusal) = self.recheck(now, pool, &mut permit, &attempt) {
+            pool.put_back(now, permit);
+            return Evidence::NotRun(NotRun::Refused(refusal));
+        }
         if let Some(until) = permit.until() {
             attempt.deadline = attempt.deadline.min(until);
         }
-        if let Err(refusal) = self.recheck(&permit, &attempt) {
-            pool.put_back(permit);
-            return Evidence::NotRun(NotRun::Refused(refusal));
-        }
         let address = permit.address();
         let mut hold = Hold { pool, clock: self.clock(), permit: Some(permit) };
         let reply = self.ports.upstream().send(address, attempt).await;
@@ -84,12 +85,20 @@
     }
 
     /// Checks again what a pause since the place was taken may have changed.
-    fn recheck(&self, permit: &Permit, attempt: &Attempt<'_>) -> Result<(), Refusal> {
-        let now = self.clock().now();
+    fn recheck(
+        &self,
+        now: Instant,
+        pool: &Pool,
+        permit: &mut Permit,
+        attempt: &Attempt<'_>,
+    ) -> Result<(), Refusal> {
         self.tables.gate.dispatches(now)?;
         if now >= attempt.request.deadline {
             return Err(Refusal::Deadline);
         }
+        if !pool.confirm(now, permit) {
+            return Err(Refusal::Full);
+        }
         match permit.until() {
             Some(until) if now + MIN_WORK > until => Err(Refusal::Full),
             _ => Ok(()),
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -62,7 +62,8 @@
 
     async fn wait(&self, route: &Route, request: &Request, now: Instant) -> Result<Place, Refusal> {
         let queue = route.settings().policy.queue;
-        let mut ticket = route.pool().wait(request.idempotent, queue).ok_or(Refusal::QueueFull)?;
+        let mut ticket =
+            route.pool().wait(now, request.idempotent, queue).ok_or(Refusal::QueueFull)?;
         let left = request.deadline.since(now);
         let early = (left / REFUSE_EARLY).min(MAX_REFUSE_EARLY);
         tokio::select! {
--- a/crates/core/src/flow/retry.rs
+++ b/crates/core/src/flow/retry.rs
@@ -122,7 +122,7 @@
                 Some(progress.give_up(refusal))
             }
             Evidence::NotRun(NotRun::Refused(_)) => {
-                progress.misses += 1;
+                progress.misses += u32::from(!local);
                 None
             }
             Evidence::NotRun(_) => {
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -47,7 +47,6 @@
     pub(crate) key: u64,
     pub(crate) vm: name::Vm,
     pub(crate) address: SocketAddr,
-    pub(crate) since: Instant,
     pub(crate) until: Option<Instant>,
     pub(crate) patience: std::time::Duration,
 }
@@ -156,15 +155,16 @@
         self.state.lock().hold(now, specs)
     }
 
-    /// Takes a place at the best server with room, if there is one.
+    /// Takes a place at the best server with room, if there is one that no earlier request waits
+    /// for.
     pub fn acquire(&self, now: Instant, idempotent: bool) -> Option<Permit> {
         self.state.lock().acquire(now, idempotent)
     }
 
     /// Queues a request for the next free place. `None` if `queue` requests wait already.
-    pub fn wait(self: &Arc<Self>, idempotent: bool, queue: u32) -> Option<Ticket> {
+    pub fn wait(self: &Arc<Self>, now: Instant, idempotent: bool, queue: u32) -> Option<Ticket> {
         let (sender, receiver) = oneshot::channel();
-        let queued = self.state.lock().wait(Waiter::new(idempotent, sender), queue);
+        let queued = self.state.lock().wait(now, Waiter::new(idempotent, sender), queue);
         if !queued {
             return None;
         }
@@ -183,9 +183,20 @@
         self.state.lock().abandon(now, permit);
     }
 
+    /// Checks a place again right before it is used: since it was taken, the server may have been
+    /// taken out, or its limit or claim may have changed. Brings [`Permit::until`] up to date.
+    pub fn confirm(&self, now: Instant, permit: &mut Permit) -> bool {
+        self.state.lock().confirm(now, permit)
+    }
+
     /// Gives back a place that was never used.
-    pub fn put_back(&self, permit: Permit) {
-        self.state.lock().put_back(permit);
+    pub fn put_back(&self, now: Instant, permit: Permit) {
+        self.state.lock().put_back(now, permit);
+    }
+
+    /// Gives back a place that was assigned to a waiting request and not taken.
+    fn return_place(&self, permit: Permit) {
+        self.state.lock().return_place(permit);
     }
 
     /// Takes over a report that came from a probe.
--- a/crates/core/src/pool/server.rs
+++ b/crates/core/src/pool/server.rs
@@ -5,7 +5,9 @@
 use smallvec::SmallVec;
 
 use super::Permit;
+use super::limit::Change;
 use super::limit::Limit;
+use super::limit::Sample;
 use super::limit::Tuning;
 use super::limit::Warmth;
 use crate::config::Policy;
@@ -98,14 +100,30 @@
     pub(super) fn update(&mut self, spec: &Spec) -> Option<bool> {
         let (was_out, is_out) = (self.spec.out.is_some(), spec.out.is_some());
         if was_out && !is_out {
-            self.limit = Limit::new(tuning(&spec.policy));
-            self.claim = None;
+            self.restart(spec);
         }
         self.limit.tune(tuning(&spec.policy));
         self.spec = spec.clone();
         (was_out != is_out).then_some(was_out)
     }
 
+    /// Forgets what is known of the server, but not what is in flight.
+    pub(super) fn restart(&mut self, spec: &Spec) {
+        self.limit = Limit::new(tuning(&spec.policy));
+        self.claim = None;
+        self.spec = spec.clone();
+    }
+
+    /// Takes over what an attempt showed.
+    pub(super) fn observe(&mut self, now: Instant, sample: &Sample) -> Option<Change> {
+        let change = self.limit.observe(now, sample);
+        if self.needs_claim() {
+            // A claim that ended while the server was warm must not hide that a new one is needed.
+            self.claim = self.claim.filter(|until| now < *until);
+        }
+        change
+    }
+
     pub(super) fn is_warm(&self) -> bool {
         self.limit.warmth() == Warmth::Warm
     }
@@ -134,24 +152,34 @@
         self.free(now) > 0 || (idle && self.permitted(now) && self.spec.out.is_none())
     }
 
+    /// Whether a place that was taken before may be used now.
+    pub(super) fn bears_permit(&self, now: Instant) -> bool {
+        let claimed = !self.needs_claim() || self.claim.is_some_and(|until| now < until);
+        self.spec.out.is_none() && claimed && self.taken(now) <= self.limit.current(now)
+    }
+
+    /// When work given to the server now must have ended, if it is not warm.
+    pub(super) fn work_until(&self) -> Option<Instant> {
+        if self.needs_claim() { self.claim } else { None }
+    }
+
     fn permitted(&self, now: Instant) -> bool {
         !self.needs_claim() || self.claim.is_some_and(|until| now + MIN_CLAIM <= until)
     }
 
-    fn taken(&self, now: Instant) -> u32 {
+    pub(super) fn taken(&self, now: Instant) -> u32 {
         let lingering = self.lingering.iter().filter(|until| now < **until).count();
         self.in_flight + u32::try_from(lingering).unwrap_or(u32::MAX)
     }
 
-    pub(super) fn take(&mut self, now: Instant) -> Permit {
+    pub(super) fn take(&mut self) -> Permit {
         self.in_flight += 1;
         let usual = self.limit.estimate().max(DEFAULT_LATENCY);
         Permit {
             key: self.key,
             vm: self.spec.vm.clone(),
             address: self.spec.address,
-            since: now,
-            until: if self.needs_claim() { self.claim } else { None },
+            until: self.work_until(),
             patience: (usual * PATIENCE_FACTOR).max(MIN_PATIENCE),
         }
     }
--- a/crates/core/src/pool/state.rs
+++ b/crates/core/src/pool/state.rs
@@ -40,7 +40,12 @@
 #[derive(Debug, Default)]
 pub(super) struct State {
     servers: Vec<Server>,
+    /// Servers that are no longer held and have requests of this entry in flight. If one is held
+    /// again, these still count.
+    retired: Vec<Server>,
     next_key: u64,
+    /// The latest time that any caller named, for changes that come without one.
+    latest: Instant,
     waiting: VecDeque<Waiter>,
     watchers: VecDeque<oneshot::Sender<u32>>,
 }
@@ -48,13 +53,7 @@
 impl State {
     pub(super) fn hold(&mut self, now: Instant, specs: &[Spec]) -> Held {
         let mut held = Held::default();
-        self.servers.retain(|server| {
-            let kept = specs.iter().any(|spec| same(spec, &server.spec));
-            if !kept {
-                held.lost.push(server.spec.vm.clone());
-            }
-            kept
-        });
+        self.retire(now, specs, &mut held);
         for spec in specs {
             if let Some(server) = self.servers.iter_mut().find(|server| same(spec, &server.spec)) {
                 match server.update(spec) {
@@ -64,8 +63,8 @@
                 }
                 continue;
             }
-            self.next_key += 1;
-            self.servers.push(Server::new(self.next_key, spec));
+            let server = self.gain(spec);
+            self.servers.push(server);
             held.gained.push(spec.vm.clone());
             held.excluded.extend(excluded(spec));
         }
@@ -73,7 +72,48 @@
         held
     }
 
+    /// Moves servers that are no longer held to the retired ones while they have work in flight.
+    fn retire(&mut self, now: Instant, specs: &[Spec], held: &mut Held) {
+        let is_held = |server: &Server| specs.iter().any(|spec| same(spec, &server.spec));
+        let (kept, lost): (Vec<_>, Vec<_>) = self.servers.drain(..).partition(is_held);
+        self.servers = kept;
+        held.lost.extend(lost.iter().map(|server| server.spec.vm.clone()));
+        self.retired.extend(lost);
+        self.retired.retain(|server| server.taken(now) > 0);
+    }
+
+    /// A server that is held from now on, with what this entry still has in flight at it.
+    fn gain(&mut self, spec: &Spec) -> Server {
+        if let Some(index) = self.retired.iter().position(|server| same(spec, &server.spec)) {
+            let mut server = self.retired.swap_remove(index);
+            server.restart(spec);
+            return server;
+        }
+        self.next_key += 1;
+        Server::new(self.next_key, spec)
+    }
+
+    /// The server of a permit, which may no longer be held.
+    fn owner(&mut self, permit: &Permit) -> Option<&mut Server> {
+        let mut all = self.servers.iter_mut().chain(&mut self.retired);
+        all.find(|server| server.key == permit.key)
+    }
+
     pub(super) fn acquire(&mut self, now: Instant, idempotent: bool) -> Option<Permit> {
+        // Time alone can free places, and those that wait come first.
+        self.pump(now);
+        if self.waiting.is_empty() { self.take(now, idempotent) } else { None }
+    }
+
+    pub(super) fn confirm(&mut self, now: Instant, permit: &mut Permit) -> bool {
+        let Some(server) = self.servers.iter().find(|server| server.key == permit.key) else {
+            return false;
+        };
+        permit.until = server.work_until();
+        server.bears_permit(now)
+    }
+
+    fn take(&mut self, now: Instant, idempotent: bool) -> Option<Permit> {
         // Work that must not run twice goes to warm servers first: a cold one is more likely to
         // fail after it has started.
         let best = self
@@ -81,19 +121,21 @@
             .iter_mut()
             .filter(|server| server.free(now) > 0)
             .min_by_key(|server| (!idempotent && !server.is_warm(), server.score(now)))?;
-        Some(best.take(now))
+        Some(best.take())
     }
 
     pub(super) fn acquire_at(&mut self, now: Instant, vm: &name::Vm) -> Option<Permit> {
         let server = self.server(vm)?;
-        server.bears_probe(now).then(|| server.take(now))
+        server.bears_probe(now).then(|| server.take())
     }
 
-    pub(super) fn wait(&mut self, waiter: Waiter, queue: u32) -> bool {
+    pub(super) fn wait(&mut self, now: Instant, waiter: Waiter, queue: u32) -> bool {
         self.waiting.retain(|waiter| !waiter.sender.is_closed());
         let full = self.waiting.len() >= queue as usize;
         if !full {
             self.waiting.push_back(waiter);
+            // A place may have become free since the request found none.
+            self.pump(now);
         }
         !full
     }
@@ -104,12 +146,12 @@
         permit: Permit,
         sample: &Sample,
     ) -> Option<Notice> {
-        let server = self.servers.iter_mut().find(|server| server.key == permit.key)?;
+        let server = self.owner(&permit)?;
         server.put_back();
         if matches!(sample.kind, Kind::Broken | Kind::Timeout) {
             server.linger(now);
         }
-        let change = server.limit.observe(now, sample);
+        let change = server.observe(now, sample);
         if sample.report.is_some_and(|report| report.in_flight == 0) {
             server.idle();
         }
@@ -119,19 +161,21 @@
     }
 
     pub(super) fn abandon(&mut self, now: Instant, permit: Permit) {
-        if let Some(server) = self.servers.iter_mut().find(|server| server.key == permit.key) {
+        if let Some(server) = self.owner(&permit) {
             server.put_back();
             server.linger(now);
         }
     }
 
-    pub(super) fn put_back(&mut self, permit: Permit) {
-        let Some(server) = self.servers.iter_mut().find(|server| server.key == permit.key) else {
-            return;
-        };
-        server.put_back();
-        // The claim is checked again before the send, so the time of the permit is good enough.
-        self.pump(permit.since);
+    pub(super) fn put_back(&mut self, now: Instant, permit: Permit) {
+        self.release(permit);
+        self.pump(now);
+    }
+
+    pub(super) fn return_place(&mut self, permit: Permit) {
+        // A place is checked again before it is used, so the latest known time is good enough.
+        let latest = self.latest;
+        self.put_back(latest, permit);
     }
 
     pub(super) fn report(&mut self, now: Instant, vm: &name::Vm, report: Report) -> Option<Notice> {
@@ -190,6 +234,7 @@
     }
 
     pub(super) fn vacancy(&mut self, now: Instant) -> Result<u32, oneshot::Receiver<u32>> {
+        self.pump(now);
         let free = self.free(now);
         if free > 0 {
             return Ok(free);
@@ -205,6 +250,7 @@
     /// Hands free places to waiting requests, then tells peers about what is left, one peer for
     /// each free place, so that a single place does not attract them all.
     pub(super) fn pump(&mut self, now: Instant) {
+        self.latest = self.latest.max(now);
         self.serve_waiting(now);
         if self.watchers.is_empty() || !self.waiting.is_empty() {
             return;
@@ -227,7 +273,7 @@
                 continue;
             }
             let idempotent = waiter.idempotent;
-            let Some(permit) = self.acquire(now, idempotent) else {
+            let Some(permit) = self.take(now, idempotent) else {
                 return;
             };
             let Some(waiter) = self.waiting.pop_front() else {
@@ -240,7 +286,7 @@
     }
 
     fn release(&mut self, permit: Permit) {
-        if let Some(server) = self.servers.iter_mut().find(|server| server.key == permit.key) {
+        if let Some(server) = self.owner(&permit) {
             server.put_back();
         }
     }
--- a/crates/core/src/pool/ticket.rs
+++ b/crates/core/src/pool/ticket.rs
@@ -29,7 +29,7 @@
     fn drop(&mut self) {
         self.receiver.close();
         if let Ok(Place::Local(permit)) = self.receiver.try_recv() {
-            self.pool.put_back(permit);
+            self.pool.return_place(permit);
         }
     }
 }
