control: know the listed entries before servers are shared out

Cause: the first list was applied to the servers before it was applied to the peers, so that no peer counted as available and an entry held all servers for a moment. Services were visited in the order of a hash table, which differs from run to run, and so the random times of probes.

Ruled out: to sort at each visit; the routes are rebuilt rarely and looked up often, and a lookup in a sorted table of 320 names takes about nine comparisons.

--- a/crates/core/src/control/reconcile.rs
+++ b/crates/core/src/control/reconcile.rs
@@ -30,6 +30,10 @@
         let Some(intent) = self.tables.intent.snapshot() else {
             return;
         };
+        // The entries are made known before it is asked which of them are available.
+        if self.basis.lock().as_ref().map(|basis| basis.list) != Some(intent.list_order) {
+            self.tables.peers.listed(now, &intent.list);
+        }
         let basis = Basis {
             config: intent.config_order,
             list: intent.list_order,
@@ -41,7 +45,6 @@
         let own = &self.identity.vm;
         let available = |vm: &name::Vm| basis.available.contains(vm);
         let holdings = holdings(&intent.config, &intent.list, own, available);
-        self.tables.peers.listed(now, &intent.list);
         let previous = self.tables.routes();
         let mut routes = Vec::new();
         for (name, settings) in intent.config.services() {
--- a/crates/core/src/flow/address.rs
+++ b/crates/core/src/flow/address.rs
@@ -43,12 +43,14 @@
         let mut addresses: Vec<Address> =
             holding.iter().filter_map(|room| weigh(&room.vm, room.limit)).collect();
         let held = route.pool().room(now).limit;
-        if held > 0 && !self.tables.gate.is_leaving() {
+        let leaving = self.tables.gate.is_leaving();
+        if held > 0 && !leaving {
             addresses.extend(weigh(own, held));
         }
         if addresses.is_empty() {
             let available = peers.all_available(now);
-            addresses.extend(available.iter().filter_map(|vm| weigh(vm, 1)));
+            let others = available.iter().filter(|vm| !leaving || *vm != own);
+            addresses.extend(others.filter_map(|vm| weigh(vm, 1)));
         }
         Ok(Addresses { addresses, ttl: route.settings().policy.address_ttl })
     }
--- a/crates/core/src/flow/route.rs
+++ b/crates/core/src/flow/route.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -72,7 +73,8 @@
 /// The services that requests can go to.
 #[derive(Debug, Default)]
 pub struct Routes {
-    services: HashMap<name::Service, Arc<Route>>,
+    /// Sorted, so that events and probes have the same order in each run.
+    services: BTreeMap<name::Service, Arc<Route>>,
     entries: HashMap<name::Vm, Contact>,
 }
 
