--- /dev/null
+++ b/crates/daemon/tests/leave.rs
@@ -0,0 +1,69 @@
+//! The planned stop of an entry under load (invariant I8).
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::time::sleep;
+
+use jackdawpin_testkit::caller::Class;
+use jackdawpin_testkit::caller::Options;
+use jackdawpin_testkit::caller::Pace;
+use jackdawpin_testkit::http::fetch;
+
+/// How long callers send before the signal, so that servers are warm.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// The time to live of addresses (2 s by default), its margin, and the longest request.
+const EXIT_LIMIT: Duration = Duration::from_secs(10);
+/// Work of the service with long requests: longer than the wait for addresses to expire.
+const LONG: &str = "--work-us=5000000";
+
+/// Guards against requests that a planned stop cuts, refuses or loses, against a second signal that
+/// ends the process at once, and against a stop that never ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_is_cut() {
+    let services: &[(&str, usize, &[&str])] =
+        &[("alerts", 6, &[]), ("reports", 3, &[LONG, "--fixed", "--warm"])];
+    let mut fleet = common::start(common::layout(3, 3, services)).await;
+    let time = Duration::from_secs(9);
+    let alerts = common::load(&fleet, "alerts", 250.0, time).await;
+    sleep(WARM_UP).await;
+    // One long request per server is under way when the signal arrives.
+    let options = Options {
+        pace: Pace::Closed(3),
+        time: Duration::from_secs(1),
+        max_requests: 3,
+        idempotent: 0.0,
+        timeout: Duration::from_secs(8),
+        ..Options::default()
+    };
+    let reports = common::load_with(&fleet, "reports", options).await;
+    sleep(Duration::from_millis(500)).await;
+    fleet.terminate("e1").unwrap();
+    let stopped = Instant::now();
+    sleep(Duration::from_millis(500)).await;
+    let ready = fetch(fleet.control("e1").unwrap(), "GET", "/readyz", "", WARM_UP).await.unwrap();
+    assert!(!ready.status.is_success(), "an entry that stops says that it is ready");
+    let asked = "/v1/addresses?service=alerts";
+    let listed = fetch(fleet.address("e2").unwrap(), "GET", asked, "", WARM_UP).await.unwrap();
+    let own = fleet.address("e1").unwrap().to_string();
+    let listed = String::from_utf8_lossy(&listed.body).into_owned();
+    // A heartbeat carries the news within a second.
+    sleep(Duration::from_millis(700)).await;
+    fleet.terminate("e1").unwrap();
+    let status = fleet.wait("e1", EXIT_LIMIT).await.unwrap();
+    println!("exit {status} {:?} after the signal; e2 listed {listed}", stopped.elapsed());
+    let again = fetch(fleet.address("e2").unwrap(), "GET", asked, "", WARM_UP).await.unwrap();
+    assert!(!String::from_utf8_lossy(&again.body).contains(&own), "e1 is still listed");
+    let long = reports.end().await;
+    let records: Vec<_> = alerts.end().await.into_iter().chain(long.iter().cloned()).collect();
+    let report = common::settle(&fleet, &records, &["e2", "e3"]).await;
+    assert!(status.success(), "the stop ended with {status}");
+    assert_eq!(report.unexplained + report.unknown, 0, "{report}");
+    assert!(long.iter().all(|record| record.class == Class::Answered), "{long:?}");
+    assert!(report.answered * 100 >= report.sent * 99, "{report}");
+    assert_eq!(common::overruns(&fleet), 0);
+}
