--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -194,6 +194,11 @@
     fleet.ledgers().unwrap().iter().map(|ledger| ledger.counts.overrun).sum()
 }
 
+/// The report of the requests meant to be sent from a time of the load on.
+pub fn since(records: &[Record], from: Duration) -> Report {
+    Report::of(records.iter().filter(|record| record.at >= from))
+}
+
 /// Share of the requests meant to be sent between two times of the load that were answered.
 pub fn answered(records: &[Record], from: Duration, to: Duration) -> f64 {
     let sent = records.iter().filter(|record| record.at >= from && record.at < to);
