Warn about names in a configuration that the VM list lacks

A misspelt failure domain in [[out]], or a misspelt server in an exception, is valid by itself and has no effect, and nobody was told.

The decision is Config::unknown in core; entries apply it to the documents in force when they are asked for their status, so `jackdawpin status` shows the same warnings. A refusal of such a document was ruled out: the configuration may name VMs before the platform lists them.

An entry tells at most 32 names, so that the status stays small. A VM counts while it is leaving, and a failure domain also if it has entries only.

The test of the usage text of `check` is replaced, because the usage changed.

--- a/crates/client/src/command/check.rs
+++ b/crates/client/src/command/check.rs
@@ -5,8 +5,12 @@
 
 use super::Context;
 use crate::Exit;
+use crate::settings::Document;
 use crate::view::check;
+use crate::view::check::Checked;
 use crate::view::check::Summary;
+use jackdawpin_core::config::Config;
+use jackdawpin_core::member::List;
 use jackdawpin_core::member::Role;
 use jackdawpin_document::Faults;
 use jackdawpin_document::config;
@@ -14,43 +18,83 @@
 use jackdawpin_document::vms;
 use jackdawpin_wire::Order;
 
-/// Checks a document in a file.
-pub(super) fn run<O: Write, E: Write>(
+/// Checks a document in a file. Asks no entry.
+///
+/// # Errors
+///
+/// The output cannot be written.
+pub fn run<O: Write, E: Write>(
     file: &Path,
-    vms: bool,
+    document: &Document,
     context: &mut Context<'_, O, E>,
 ) -> io::Result<Exit> {
-    let name = file.display().to_string();
-    let bytes = match fs::read(file) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            writeln!(context.errors, "jackdawpin: {name} cannot be read: {error}")?;
-            return Ok(Exit::Usage);
+    let Some(bytes) = read(file, context)? else {
+        return Ok(Exit::Usage);
+    };
+    let mut checked = Vec::new();
+    let mut warnings = Vec::new();
+    match document {
+        Document::Vms => checked.push(Checked::new(file, read_vms(&bytes).map(list_summary))),
+        Document::Config { against: None } => {
+            checked.push(Checked::new(file, read_config(&bytes).map(config_summary)));
         }
+        Document::Config { against: Some(against) } => {
+            let Some(list_bytes) = read(against, context)? else {
+                return Ok(Exit::Usage);
+            };
+            let (config, list) = (read_config(&bytes), read_vms(&list_bytes));
+            if let (Ok((config, _)), Ok((list, _))) = (&config, &list) {
+                warnings = config.unknown(list);
+            }
+            checked.push(Checked::new(file, config.map(config_summary)));
+            checked.push(Checked::new(against, list.map(list_summary)));
+        }
+    }
+    let text = if context.is_json() {
+        check::json(&checked, &warnings)
+    } else {
+        check::text(&checked, &warnings)
     };
-    let result = if vms { read_vms(&bytes) } else { read_config(&bytes) };
-    let text =
-        if context.is_json() { check::json(&name, &result) } else { check::text(&name, &result) };
     context.print(&text)?;
-    Ok(if result.is_ok() { Exit::Fine } else { Exit::Failed })
+    let fine = warnings.is_empty() && checked.iter().all(|checked| checked.result.is_ok());
+    Ok(if fine { Exit::Fine } else { Exit::Failed })
+}
+
+/// The bytes of a file; `None` if it cannot be read, which is reported.
+fn read<O, E: Write>(file: &Path, context: &mut Context<'_, O, E>) -> io::Result<Option<Vec<u8>>> {
+    match fs::read(file) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(error) => {
+            writeln!(context.errors, "jackdawpin: {} cannot be read: {error}", file.display())?;
+            Ok(None)
+        }
+    }
 }
 
-fn read_config(bytes: &[u8]) -> Result<Summary, Faults> {
+fn read_config(bytes: &[u8]) -> Result<(Config, Order), Faults> {
     let config = config::read(jackdawpin_document::text(bytes)?)?;
     let order = Order { number: config.revision(), digest: digest(bytes) };
+    Ok((config, order))
+}
+
+fn read_vms(bytes: &[u8]) -> Result<(List, Order), Faults> {
+    let list = vms::read(jackdawpin_document::text(bytes)?)?;
+    let order = Order { number: list.version(), digest: digest(bytes) };
+    Ok((list, order))
+}
+
+fn config_summary((config, order): (Config, Order)) -> Summary {
     let parts = vec![
         ("services", config.services().count()),
         ("exceptions", config.exceptions().len()),
         ("failure domains out", config.outages().len()),
     ];
-    Ok(Summary { order, parts })
+    Summary { order, parts }
 }
 
-fn read_vms(bytes: &[u8]) -> Result<Summary, Faults> {
-    let list = vms::read(jackdawpin_document::text(bytes)?)?;
-    let order = Order { number: list.version(), digest: digest(bytes) };
+fn list_summary((list, order): (List, Order)) -> Summary {
     let is_entry = |role: &Role| matches!(role, Role::Entry { .. });
     let entries = list.vms().iter().filter(|vm| is_entry(&vm.role)).count();
     let parts = vec![("entries", entries), ("servers", list.vms().len() - entries)];
-    Ok(Summary { order, parts })
+    Summary { order, parts }
 }
--- a/crates/client/src/command/mod.rs
+++ b/crates/client/src/command/mod.rs
@@ -19,6 +19,8 @@
 use crate::settings::Format;
 use crate::settings::Settings;
 
+pub use self::check::run as check;
+
 /// Time between two views or polls of a command that goes on.
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -71,7 +73,7 @@
     context: &mut Context<'_, O, E>,
 ) -> io::Result<Exit> {
     match &context.settings.command {
-        Command::Check { file, vms } => check::run(file, *vms, context),
+        Command::Check { file, document } => check::run(file, document, context),
         Command::Status => status::run(ask, context).await,
         Command::Explain { service, server } => explain::run(ask, service, server, context).await,
         Command::Timeline { filter, follow: false } => timeline::run(ask, filter, context).await,
--- a/crates/client/src/fleet/finding.rs
+++ b/crates/client/src/fleet/finding.rs
@@ -26,6 +26,9 @@
         /// Why.
         reason: String,
     },
+    /// A name in the configuration in force that the VM list does not have, with the entries that
+    /// say so.
+    Unknown(String, Vec<String>),
     /// No entry knows the server.
     UnknownServer {
         /// The service.
@@ -54,6 +57,7 @@
             Self::Refused { vm, document, reason } => {
                 write!(f, "{vm} refused the {document}: {reason}")
             }
+            Self::Unknown(text, vms) => write!(f, "{text} (according to {})", vms.join(", ")),
             Self::UnknownServer { service, server } => {
                 write!(f, "no entry knows server {server} of service {service}")
             }
@@ -78,6 +82,7 @@
     let mut findings = Vec::new();
     findings.extend(configurations(fleet));
     findings.extend(fleet.members.iter().flat_map(of_entry));
+    findings.extend(unknown(fleet));
     findings
 }
 
@@ -92,6 +97,17 @@
     (groups.len() > 1).then(|| Finding::Holders(groups.into_iter().collect()))
 }
 
+/// Unknown names, each once.
+fn unknown(fleet: &Fleet) -> impl Iterator<Item = Finding> {
+    let mut groups: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for member in &fleet.members {
+        for text in &member.status.unknown {
+            groups.entry(text.clone()).or_default().push(member.status.vm.clone());
+        }
+    }
+    groups.into_iter().map(|(text, vms)| Finding::Unknown(text, vms))
+}
+
 /// Entries without a configuration have just started and disagree with nobody.
 fn configurations(fleet: &Fleet) -> Option<Finding> {
     let mut groups: BTreeMap<Order, Vec<String>> = BTreeMap::new();
--- a/crates/client/src/settings/arguments.rs
+++ b/crates/client/src/settings/arguments.rs
@@ -30,6 +30,9 @@
     /// The document is a VM list.
     #[options(no_short, help = "check: the file is a VM list")]
     pub vms: bool,
+    /// The VM list that must have the names in the configuration.
+    #[options(no_short, meta = "VMLIST", help = "check: warn about names that this VM list lacks")]
+    pub against: Option<String>,
     /// Kinds of event.
     #[options(no_short, meta = "KIND,...", help = "timeline: only events of these kinds")]
     pub kind: Vec<String>,
@@ -55,6 +58,7 @@
     pub(super) fn check_options(&self, command: &str) -> Result<(), Error> {
         let options = [
             ("vms", "check", self.vms),
+            ("against", "check", self.against.is_some()),
             ("kind", "timeline", !self.kind.is_empty()),
             ("service", "timeline", self.service.is_some()),
             ("vm", "timeline", self.vm.is_some()),
--- a/crates/client/src/settings/mod.rs
+++ b/crates/client/src/settings/mod.rs
@@ -26,6 +26,9 @@
 /// Longest time that `--timeout-ms` allows, in milliseconds.
 const MAX_TIMEOUT_MS: u64 = 60_000;
 
+/// Usage of `check`.
+const CHECK: &str = "check [--vms | --against VMLIST] FILE";
+
 /// What the commands do and what the exit codes mean; the options follow.
 const HELP: &str = "\
 Usage: jackdawpin [OPTIONS] COMMAND
@@ -136,8 +139,8 @@
     Check {
         /// The file with the document.
         file: PathBuf,
-        /// Whether it is a VM list.
-        vms: bool,
+        /// What it is.
+        document: Document,
     },
     /// Show entries and servers.
     Status,
@@ -162,6 +165,18 @@
     },
 }
 
+/// A document to check.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Document {
+    /// A configuration.
+    Config {
+        /// The file with the VM list that must have the names in it.
+        against: Option<PathBuf>,
+    },
+    /// A VM list.
+    Vms,
+}
+
 /// Which events of the timeline are shown. An empty filter shows all.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Filter {
@@ -260,8 +275,8 @@
     let (word, rest) = words.split_first().ok_or(Error::NoCommand)?;
     arguments.check_options(word)?;
     match (word.as_str(), rest) {
-        ("check", [file]) => Ok(Command::Check { file: file.into(), vms: arguments.vms }),
-        ("check", _) => Err(Error::Words("check [--vms] FILE")),
+        ("check", [file]) => check(file, arguments),
+        ("check", _) => Err(Error::Words(CHECK)),
         ("status", []) => Ok(Command::Status),
         ("status", _) => Err(Error::Words("status")),
         ("explain", [service, server]) => explain(service, server),
@@ -274,6 +289,15 @@
     }
 }
 
+fn check(file: &str, arguments: Arguments) -> Result<Command, Error> {
+    let document = match (arguments.vms, arguments.against) {
+        (false, against) => Document::Config { against: against.map(PathBuf::from) },
+        (true, None) => Document::Vms,
+        (true, Some(_)) => return Err(Error::Words(CHECK)),
+    };
+    Ok(Command::Check { file: file.into(), document })
+}
+
 fn explain(service: &str, server: &str) -> Result<Command, Error> {
     let service = service.try_into().map_err(|error| Error::Name(service.to_owned(), error))?;
     let server = server.try_into().map_err(|error| Error::Name(server.to_owned(), error))?;
--- a/crates/client/src/view/check.rs
+++ b/crates/client/src/view/check.rs
@@ -1,4 +1,6 @@
-//! The result of checking a document.
+//! The result of checking documents.
+
+use std::path::Path;
 
 use serde_json::Value;
 use serde_json::json;
@@ -6,6 +8,7 @@
 use super::format;
 use super::format::clean;
 use super::value;
+use jackdawpin_core::config::Unknown;
 use jackdawpin_document::Fault;
 use jackdawpin_document::Faults;
 use jackdawpin_wire::Order;
@@ -19,10 +22,32 @@
     pub parts: Vec<(&'static str, usize)>,
 }
 
-/// One line, or one line for each fault.
-pub fn text(file: &str, result: &Result<Summary, Faults>) -> String {
-    let file = clean(file);
-    match result {
+/// A document that was checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Checked {
+    /// Name of the file.
+    pub file: String,
+    /// What it contains, or what is wrong with it.
+    pub result: Result<Summary, Faults>,
+}
+
+impl Checked {
+    /// Joins a result with the name of its file.
+    pub fn new(file: &Path, result: Result<Summary, Faults>) -> Self {
+        Self { file: file.display().to_string(), result }
+    }
+}
+
+/// For each document one line, or one line for each fault; then one line for each warning, which is
+/// about the first document.
+pub fn text(documents: &[Checked], warnings: &[Unknown]) -> String {
+    let warning = |unknown: &Unknown| format!("warning: {}\n", clean(&unknown.to_string()));
+    documents.iter().map(document_text).chain(warnings.iter().map(warning)).collect()
+}
+
+fn document_text(checked: &Checked) -> String {
+    let file = clean(&checked.file);
+    match &checked.result {
         Ok(summary) => {
             let parts = summary.parts.iter().map(|(name, count)| format!(", {name}: {count}"));
             let parts: String = parts.collect();
@@ -35,15 +60,26 @@
     }
 }
 
-/// One document.
-pub fn json(file: &str, result: &Result<Summary, Faults>) -> String {
-    let (summary, faults) = match result {
+/// One JSON document with the fields of the first document that was checked. The second one, if any,
+/// is in the field `against`.
+pub fn json(documents: &[Checked], warnings: &[Unknown]) -> String {
+    let mut documents = documents.iter().map(document_json);
+    let mut value = documents.next().unwrap_or_default();
+    if let Some(fields) = value.as_object_mut() {
+        let warnings = warnings.iter().map(|unknown| Value::from(unknown.to_string()));
+        fields.insert("warnings".to_owned(), warnings.collect());
+        fields.extend(documents.next().map(|list| ("against".to_owned(), list)));
+    }
+    value::document(&value)
+}
+
+fn document_json(checked: &Checked) -> Value {
+    let (summary, faults) = match &checked.result {
         Ok(summary) => (summary_json(summary), Vec::new()),
         Err(faults) => (Value::Null, faults.iter().map(fault_json).collect()),
     };
-    let valid = result.is_ok();
-    let value = json!({ "file": file, "valid": valid, "document": summary, "faults": faults });
-    value::document(&value)
+    let valid = checked.result.is_ok();
+    json!({ "file": checked.file, "valid": valid, "document": summary, "faults": faults })
 }
 
 fn summary_json(summary: &Summary) -> Value {
--- a/crates/client/tests/common/mod.rs
+++ b/crates/client/tests/common/mod.rs
@@ -57,6 +57,7 @@
         config_refused: None,
         vms: Some(order(7)),
         vms_refused: None,
+        unknown: Vec::new(),
         entries: Vec::new(),
         services: Vec::new(),
         totals: Totals::default(),
--- a/crates/client/tests/loopback.rs
+++ b/crates/client/tests/loopback.rs
@@ -117,6 +117,12 @@
     second.fenced = true;
 }
 
+fn misspell(first: &mut Status, second: &mut Status) {
+    forget_third(first, second);
+    first.unknown.push("[[out]]: the VM list has no failure domain fdb".to_owned());
+    second.unknown = first.unknown.clone();
+}
+
 fn disagree(_: &mut Status, second: &mut Status) {
     second.config = Some(common::order(43));
 }
@@ -129,6 +135,13 @@
 #[case::fine("status --entries FIRST", forget_third, Exit::Fine, "entry-2  fd-a", "")]
 #[case::partial("status --entries FIRST", keep, Exit::Partial, "entry-3      CLOSED", LOST)]
 #[case::fenced("status --entries FIRST", fence, Exit::Failed, "entry-2 is fenced", "")]
+#[case::misspelt(
+    "status --entries FIRST",
+    misspell,
+    Exit::Failed,
+    "warning: [[out]]: the VM list has no failure domain fdb (according to entry-1, entry-2)",
+    ""
+)]
 #[case::disagree(
     "status --entries FIRST",
     disagree,
@@ -240,6 +253,49 @@
     assert_eq!(text.lines().count(), 3, "{text}");
 }
 
+const LIST: &str = "tests/golden/vms.json: valid, number 7 (";
+
+const MISSPELT: &str = "\
+warning: [[service]]: the VM list has no service dispatch
+warning: [[exception]]: the VM list has no server ordering-1 of service alerts
+warning: [[exception]]: the VM list has no failure domain fd-c
+warning: [[out]]: the VM list has no failure domain fdb
+";
+
+/// Guards against a misspelt name that has no effect and that nobody is told of, against warnings
+/// about names that exist, and against a faulty VM list that counts as one without names.
+#[rstest]
+#[case::known("names.toml", "vms.json", Exit::Fine, LIST)]
+#[case::misspelt("misspelt.toml", "vms.json", Exit::Failed, MISSPELT)]
+#[case::faulty_list("names.toml", "names.toml", Exit::Failed, "line 1, column 1, document: ")]
+#[case::no_list("names.toml", "no-such-file", Exit::Usage, "")]
+#[tokio::test]
+async fn check_against(
+    #[case] file: &str,
+    #[case] list: &str,
+    #[case] expected: Exit,
+    #[case] part: &str,
+) {
+    let line = format!("check tests/golden/{file} --against tests/golden/{list}");
+    let (exit, out, _) = run(&line, keep).await.expect("the client does not panic");
+    assert_eq!(exit, expected, "{out}");
+    assert!(out.contains(part), "{out}");
+    assert_eq!(out.contains("warning"), part == MISSPELT, "{out}");
+}
+
+/// Guards against JSON without the warnings or the VM list's own result.
+#[tokio::test]
+async fn check_against_json() {
+    let line = "check --json tests/golden/misspelt.toml --against tests/golden/vms.json";
+    let (_, out, _) = run(line, keep).await.expect("the client does not panic");
+    let value: serde_json::Value = serde_json::from_str(&out).expect("one JSON document");
+    let expected: Vec<&str> =
+        MISSPELT.lines().map(|line| line.trim_start_matches("warning: ")).collect();
+    assert_eq!(value["warnings"], serde_json::json!(expected));
+    assert_eq!(value["valid"], true);
+    assert_eq!(value["against"]["document"]["order"]["number"], 7);
+}
+
 /// Guards against a check that accepts a faulty file, hides faults or uses the wrong exit code.
 #[rstest]
 #[case::valid("check ../../examples/colavale.toml", Exit::Fine, "services: 2, exceptions: 1")]
--- a/crates/client/tests/settings.rs
+++ b/crates/client/tests/settings.rs
@@ -50,7 +50,15 @@
     "timeline --since noon --entries a:1",
     "\"noon\" is neither a duration such as 90s, 10m, 2h or 1d nor a time such as 2026-05-03T08:00:00Z"
 )]
-#[case::check("check", "usage: jackdawpin check [--vms] FILE")]
+#[case::check("check", "usage: jackdawpin check [--vms | --against VMLIST] FILE")]
+#[case::check_both(
+    "check --vms --against list.json file",
+    "usage: jackdawpin check [--vms | --against VMLIST] FILE"
+)]
+#[case::foreign_against(
+    "status --entries a:1 --against list.json",
+    "option --against does not belong to status"
+)]
 #[case::version("--version", "jackdawpin 0.1.0\n")]
 fn refused(#[case] line: &str, #[case] expected: &str) {
     assert_eq!(read(line, None).err().as_deref(), Some(expected));
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod field;
 mod policy;
+mod unknown;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 pub use self::field::Kind;
 pub use self::policy::Override;
 pub use self::policy::Policy;
+pub use self::unknown::Unknown;
 
 /// Why an exception exists, in the words of the operator who made it.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/daemon/src/control/admin.rs
+++ b/crates/daemon/src/control/admin.rs
@@ -9,6 +9,7 @@
 use jackdawpin_core::config::Origin;
 use jackdawpin_core::event::Record;
 use jackdawpin_core::flow::Route;
+use jackdawpin_core::intent::Intent;
 use jackdawpin_core::intent::Refusal;
 use jackdawpin_core::lease::Target;
 use jackdawpin_core::ledger::Totals;
@@ -26,6 +27,10 @@
 /// Events on a page of the time line.
 const PAGE: usize = 256;
 
+/// Unknown names that are told; the rest is only counted. The largest configuration has room for
+/// some 20,000.
+const MAX_UNKNOWN: usize = 32;
+
 impl<O: Ports> Listener<O> {
     pub(super) fn status(&self) -> wire::Status {
         let now = self.router.clock().now();
@@ -47,6 +52,7 @@
             config_refused: config.refusal.as_ref().map(refused),
             vms: list.accepted.map(|accepted| convert::order(accepted.order)),
             vms_refused: list.refusal.as_ref().map(refused),
+            unknown: tables.intent.snapshot().as_deref().map(unknown).unwrap_or_default(),
             entries: self.entries(now),
             services: self.services(now),
             totals: totals(&tables.ledger.sum()),
@@ -165,6 +171,16 @@
     }
 }
 
+fn unknown(intent: &Intent) -> Vec<String> {
+    let unknown = intent.config.unknown(&intent.list);
+    let mut texts: Vec<String> =
+        unknown.iter().take(MAX_UNKNOWN).map(ToString::to_string).collect();
+    if unknown.len() > MAX_UNKNOWN {
+        texts.push(format!("and {} more", unknown.len() - MAX_UNKNOWN));
+    }
+    texts
+}
+
 fn refused(refusal: &Refusal) -> String {
     format!("{}: {}", refusal.order, refusal.reason)
 }
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -33,6 +33,9 @@
     pub vms: Option<Order>,
     /// The newest refused VM list and why, until a newer one is accepted.
     pub vms_refused: Option<String>,
+    /// Names in the configuration in force that the VM list in force does not have, as sentences.
+    #[serde(default)]
+    pub unknown: Vec<String>,
     /// The other entries.
     pub entries: Vec<Entry>,
     /// Per service of the configuration.
