Read the platform without a name resolver

volo-http's ClientBuilder sets up a resolver when it is created and panics if /etc/resolv.conf is missing or names no server, which a diskless VM may lack. Addresses of the platform are always IP numbers.

Ruled out: ClientBuilder::discover and mk_load_balance, which replace the resolver only after ClientBuilder::new has created it (there is no other constructor), and ClientTransport, whose constructor is private to volo-http.

`jackdawpin check` asks no entry and no longer builds a client. A file that has a server and other lines that cannot be parsed may still panic.

--- a/crates/client/src/ask/http.rs
+++ b/crates/client/src/ask/http.rs
@@ -1,3 +1,4 @@
+use std::fs;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 
 use super::Ask;
 use super::Error;
+use super::resolver;
 use jackdawpin_wire::Explanation;
 use jackdawpin_wire::MAX_MESSAGE;
 use jackdawpin_wire::Page;
@@ -34,8 +36,11 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Http`] if the HTTP client cannot be built.
+    /// [`Error::NameServer`] if `/etc/resolv.conf` names no server, [`Error::Http`] if the HTTP
+    /// client cannot be built.
     pub fn new(timeout: Duration) -> Result<Self, Error> {
+        // The builder sets up a resolver, which is not used here, and panics if there is no server.
+        resolver::check(fs::read_to_string(resolver::FILE))?;
         let client = ClientBuilder::new().build().map_err(|error| describe(&error))?;
         Ok(Self { client: Arc::new(client), timeout })
     }
--- a/crates/client/src/ask/mod.rs
+++ b/crates/client/src/ask/mod.rs
@@ -4,6 +4,7 @@
 //! HTTP.
 
 mod http;
+pub mod resolver;
 
 use std::future::Future;
 use std::io;
@@ -25,6 +26,13 @@
             source(err)
             display("the host cannot be resolved: {}", err)
         }
+        /// The system has no name server, which the HTTP client requires.
+        NameServer(problem: String) {
+            display(
+                "{} {}; the HTTP client requires a line such as \"nameserver 127.0.0.1\", although it is not used",
+                resolver::FILE, problem
+            )
+        }
         /// No answer in time.
         Timeout(millis: u128) {
             display("no answer within {} ms", millis)
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -20,6 +20,7 @@
 
 use self::ask::Http;
 use self::command::Context;
+use self::settings::Command;
 use self::settings::Request;
 use self::settings::Settings;
 
@@ -62,8 +63,12 @@
     out: &mut impl Write,
     errors: &mut impl Write,
 ) -> io::Result<Exit> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
     let mut context = Context { settings, terminal, out, errors };
+    // A check asks no entry, so it must not need a client.
+    if let Command::Check { file, document } = &settings.command {
+        return command::check(file, document, &mut context);
+    }
+    let runtime = Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         match Http::new(settings.timeout) {
             Ok(ask) => command::run(&ask, &mut context).await,
--- a/crates/daemon/src/exchange/error.rs
+++ b/crates/daemon/src/exchange/error.rs
@@ -12,10 +12,14 @@
         Broken(why: String) {
             display("connection broke: {}", why)
         }
-        /// The answer was cut or too large.
+        /// The answer was cut.
         Answer(why: String) {
             display("answer is not whole: {}", why)
         }
+        /// The answer is larger than the limit.
+        Large(limit: usize) {
+            display("the answer has more than {} bytes", limit)
+        }
         /// No whole answer came in time.
         Timeout {
             display("no whole answer in time")
--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -3,7 +3,8 @@
 //! The request path needs to say "not run" only where it is proved. This client therefore tells
 //! apart: no connection, a connection that closed before it took the request, and a connection that
 //! broke after it. It uses hyper directly, because volo-http's client reports neither, has no
-//! timeout for connecting, and resolves names, which entries never need.
+//! timeout for connecting, and resolves names, which entries never need: it reads
+//! `/etc/resolv.conf` when it is built and panics if the file names no server.
 //!
 //! A connection serves one exchange at a time and goes back to the pool only after a whole answer.
 //! A cancelled or timed-out exchange closes its connection.
@@ -19,6 +20,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -121,6 +123,7 @@
         let (parts, body) = response.into_parts();
         let body = match Limited::new(body, limit).collect().await {
             Ok(body) => body.to_bytes(),
+            Err(err) if err.is::<LengthLimitError>() => return Err(Error::Large(limit)),
             Err(err) => return Err(Error::Answer(err.to_string())),
         };
         self.idle.put(address, sender);
--- a/crates/daemon/src/platform/error.rs
+++ b/crates/daemon/src/platform/error.rs
@@ -3,14 +3,22 @@
 use std::time::Duration;
 
 use quick_error::quick_error;
-use volo_http::error::ClientError;
+
+use super::MAX_VALUE_BYTES;
+use super::http::LIMIT;
+use crate::exchange;
 
 quick_error! {
     /// Why a read failed.
     #[derive(Debug)]
     pub enum Error {
-        /// No connection could be made, or it broke.
-        Client(error: ClientError) {
+        /// No connection could be made, or it broke before the end of the answer.
+        Exchange(error: exchange::Error) {
+            display("{}", error)
+            source(error)
+        }
+        /// The request could not be built.
+        Request(error: http::Error) {
             display("{}", error)
             source(error)
             from()
@@ -27,10 +35,6 @@
         Status(status: u16) {
             display("status {}", status)
         }
-        /// The answer broke off.
-        Broken {
-            display("the connection broke before the end of the answer")
-        }
         /// The value is larger than the platform allows.
         Large(limit: usize) {
             display("the value has more than {} bytes", limit)
@@ -42,6 +46,17 @@
     }
 }
 
+impl From<exchange::Error> for Error {
+    fn from(error: exchange::Error) -> Self {
+        match error {
+            // The limit of an answer follows from that of the value.
+            exchange::Error::Large(_) => Error::Large(MAX_VALUE_BYTES),
+            exchange::Error::Timeout => Error::Timeout(LIMIT),
+            other => Error::Exchange(other),
+        }
+    }
+}
+
 impl From<serde_json::Error> for Error {
     fn from(error: serde_json::Error) -> Self {
         Error::Format(format!("the answer is not the JSON expected: {error}"))
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -1,60 +1,58 @@
 //! Reads keys over HTTP.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Request;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
-use volo::net::Address;
-use volo_http::body::Body;
-use volo_http::client::Client;
-use volo_http::client::ClientBuilder;
-use volo_http::response::Response;
+use http::header::HOST;
+use http_body_util::Full;
 
 use super::Answer;
 use super::Error;
 use super::Fetch;
 use super::answer;
 use super::answer::MAX_BODY_BYTES;
+use crate::exchange::Client;
 
 /// How long the platform holds a read while the key does not change. An entry refuses new work when
 /// it has heard neither the platform nor its peers for 5 s, so a wait must be well below that. The
 /// cost is 2 keys x 19 entries / 2 s = 19 reads/s of the about 2,000 that the platform answers.
 pub const WAIT: Duration = Duration::from_secs(2);
 
+/// Time for an answer beyond the wait. The platform adds up to 1/16 of the wait (125 ms) itself,
+/// and answers within milliseconds otherwise.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// Time for a read.
+pub(super) const LIMIT: Duration = WAIT.saturating_add(GRACE);
+
 /// Header field with the index of an answer.
 const INDEX: &str = "x-consul-index";
 
 /// Reads keys over HTTP by IP address.
-#[derive(Clone)]
+///
+/// It uses the client of the request path: that of volo-http reads `/etc/resolv.conf` when it is
+/// built and panics if the file is missing or names no server, which a diskless VM may lack.
+#[derive(Debug, Clone)]
 pub struct Http {
-    client: Client,
+    client: Arc<Client>,
     address: SocketAddr,
 }
 
 impl Http {
     /// Creates a reader of the service at `address`.
-    ///
-    /// # Errors
-    ///
-    /// The client could not be set up.
-    ///
-    /// # Panics
-    ///
-    /// volo-http's builder reads `/etc/resolv.conf` although no name is resolved here, and panics
-    /// if the file names no server.
-    pub fn new(address: SocketAddr) -> Result<Self, Error> {
-        let client = ClientBuilder::new().build()?;
-        Ok(Self { client, address })
+    pub fn new(address: SocketAddr) -> Self {
+        Self { client: Arc::default(), address }
     }
 
     async fn get(&self, key: &str, index: u64) -> Result<Answer, Error> {
         let uri = format!("/v1/kv/{key}?index={index}&wait={}s", WAIT.as_secs());
-        let request = self.client.get(uri).address(Address::from(self.address));
-        let response: Response = request.send().await?;
+        let request =
+            Request::get(uri).header(HOST, self.address.to_string()).body(Full::<Bytes>::default());
+        let response = self.client.exchange(self.address, request?, LIMIT, MAX_BODY_BYTES).await?;
         match response.status() {
             StatusCode::OK => {}
             StatusCode::NOT_FOUND => return Err(Error::Absent),
@@ -62,8 +60,7 @@
         }
         let field = response.headers().get(INDEX).map(|value| value.as_bytes());
         let index = answer::index(field)?;
-        let body = collect(response.into_body()).await?;
-        Ok(Answer { index, value: answer::value(&body, key)? })
+        Ok(Answer { index, value: answer::value(response.body(), key)? })
     }
 }
 
@@ -72,11 +69,3 @@
         self.get(key, index).await
     }
 }
-
-async fn collect(body: Body) -> Result<Bytes, Error> {
-    match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Error::Large(answer::MAX_VALUE_BYTES)),
-        Err(_) => Err(Error::Broken),
-    }
-}
--- a/crates/daemon/src/platform/watch.rs
+++ b/crates/daemon/src/platform/watch.rs
@@ -10,15 +10,11 @@
 use super::Fetch;
 use super::Key;
 use super::Sink;
-use super::http::WAIT;
+use super::http::LIMIT;
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Random;
 use jackdawpin_core::time::Instant;
 
-/// Time for an answer beyond the wait. The platform adds up to 1/16 of the wait (125 ms) itself,
-/// and answers within milliseconds otherwise.
-const GRACE: Duration = Duration::from_secs(1);
-
 /// Shortest time between the starts of two reads. A platform that does not hold reads, or a key
 /// that changes all the time, would otherwise be read in a tight loop.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -79,13 +75,12 @@
     /// been suspended since it came, and it must not count as a sign that the platform is heard
     /// now.
     async fn read(&self, name: &str, index: u64, start: Instant) -> Result<Answer, Error> {
-        let limit = WAIT + GRACE;
         let answer = tokio::select! {
             answer = self.fetch.fetch(name, index) => answer?,
-            () = self.clock.sleep_until(start + limit) => return Err(Error::Timeout(limit)),
+            () = self.clock.sleep_until(start + LIMIT) => return Err(Error::Timeout(LIMIT)),
         };
-        if self.clock.now().since(start) > limit {
-            return Err(Error::Timeout(limit));
+        if self.clock.now().since(start) > LIMIT {
+            return Err(Error::Timeout(LIMIT));
         }
         Ok(answer)
     }
--- a/crates/daemon/src/run/error.rs
+++ b/crates/daemon/src/run/error.rs
@@ -3,8 +3,6 @@
 
 use quick_error::quick_error;
 
-use crate::platform;
-
 quick_error! {
     /// Why the daemon cannot run.
     #[derive(Debug)]
@@ -24,11 +22,5 @@
             source(err)
             display("cannot listen on {} (--{}): {}", address, name, err)
         }
-        /// The client for the platform could not be set up.
-        Platform(err: platform::Error) {
-            from()
-            source(err)
-            display("cannot set up the client for the platform: {}", err)
-        }
     }
 }
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -73,9 +73,8 @@
     tokio::spawn(signals.run(stop.clone()));
     let callers = bind("listen", settings.listen)?;
     let peers = bind("control", settings.control)?;
-    let platform = Http::new(settings.platform)?;
     let daemon = Daemon::new(settings);
-    daemon.spawn_tasks(platform);
+    daemon.spawn_tasks();
     let front_stop = CancellationToken::new();
     let control_stop = CancellationToken::new();
     let front = daemon.spawn_front(callers, &front_stop);
@@ -131,11 +130,12 @@
         }
     }
 
-    fn spawn_tasks(&self, platform: Http) {
+    fn spawn_tasks(&self) {
         let (control, cancel) = (self.control.clone(), self.cancel.clone());
         tokio::spawn(async move { control.run(&cancel).await });
         let (router, cancel) = (self.router.clone(), self.cancel.clone());
         tokio::spawn(async move { scouts::run(router, cancel).await });
+        let platform = Http::new(self.settings.platform);
         let keys = &self.settings.keys;
         self.spawn_watch(platform.clone(), Key::Config, keys.config.clone());
         self.spawn_watch(platform, Key::Vms, keys.vms.clone());
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -84,7 +84,7 @@
     match err {
         Error::NotSent(_) => Evidence::NotRun(NotRun::NotSent),
         Error::Broken(_) => Evidence::MayHaveRun(Doubt::Broken),
-        Error::Answer(_) => Evidence::MayHaveRun(Doubt::BadAnswer),
+        Error::Answer(_) | Error::Large(_) => Evidence::MayHaveRun(Doubt::BadAnswer),
         Error::Timeout => Evidence::MayHaveRun(Doubt::Timeout),
     }
 }
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -5,7 +5,9 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::fs;
 use std::future::pending;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -112,7 +114,7 @@
     count: usize,
 ) -> (Vec<String>, Vec<String>) {
     let listener = listen::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let fetch = Http::new(listener.local_addr().unwrap()).unwrap();
+    let fetch = Http::new(listener.local_addr().unwrap());
     let script = Mutex::new(script.into_iter().collect());
     let platform = Arc::new(Platform { script, requests: Mutex::default() });
     let stop = CancellationToken::new();
@@ -205,6 +207,38 @@
     assert!(ended.is_err(), "{} reads in 550 ms", most + 1);
 }
 
+/// Guards against volo-http's client in the daemon: it reads `/etc/resolv.conf` when it is built and
+/// panics if the file is missing or names no server, which a diskless VM may lack. No test can take
+/// the file away, so the sources are searched.
+#[test]
+fn no_client_with_a_resolver() {
+    let mut folders = vec![Path::new(env!("CARGO_MANIFEST_DIR")).join("src")];
+    let mut files = 0;
+    while let Some(folder) = folders.pop() {
+        for item in fs::read_dir(folder).unwrap() {
+            let path = item.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            files += 1;
+            let text = fs::read_to_string(&path).unwrap();
+            assert!(!text.contains("volo_http::client"), "{}", path.display());
+        }
+    }
+    assert!(files > 50, "only {files} files were found");
+}
+
+/// Guards against a platform that is not there, which must be a failed read and no more.
+#[tokio::test]
+async fn refused_connection() {
+    let listener = listen::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let fetch = Http::new(listener.local_addr().unwrap());
+    drop(listener);
+    let results = collect(&fetch, &clock::Boot, 1).await;
+    assert!(results[0].starts_with("config failed: request not sent: "), "{results:?}");
+}
+
 /// Always the largest or the smallest number.
 struct Extreme(bool);
 
