--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -142,7 +142,7 @@
     }
 
     fn spawn_watch(&self, fetch: Http, key: Key, name: String) {
-        let sink = Sink::new(self.control.clone());
+        let sink = Sink::new(self.control.clone(), &self.telemetry.metrics().entry);
         let cancel = self.cancel.clone();
         tokio::spawn(async move {
             let (clock, random) = (&clock::Boot, &clock::Random);
--- a/crates/daemon/src/run/sink.rs
+++ b/crates/daemon/src/run/sink.rs
@@ -1,5 +1,8 @@
 use std::sync::Arc;
 
+use prometheus_client::metrics::counter::Counter;
+
+use crate::metrics::Entry;
 use crate::platform;
 use crate::platform::Error;
 use crate::platform::Key;
@@ -8,23 +11,29 @@
 use jackdawpin_core::port::Ports;
 use jackdawpin_core::time::Instant;
 
-/// Hands what the platform answers to the decisions.
+/// Hands what the platform answers to the decisions, and counts it.
 pub(super) struct Sink<O> {
     control: Arc<Control<O>>,
+    reads: Counter,
+    failures: Counter,
 }
 
 impl<O: Ports> Sink<O> {
-    pub(super) fn new(control: Arc<Control<O>>) -> Self {
-        Self { control }
+    pub(super) fn new(control: Arc<Control<O>>, metrics: &Entry) -> Self {
+        let reads = metrics.platform_reads.clone();
+        let failures = metrics.platform_failures.clone();
+        Self { control, reads, failures }
     }
 }
 
 impl<O: Ports> platform::Sink for Sink<O> {
     fn read(&self, key: Key, value: &[u8], asked: Instant) {
+        self.reads.inc();
         self.control.platform_read(kind(key), value, asked);
     }
 
     fn failed(&self, key: Key, error: &Error, asked: Instant) {
+        self.failures.inc();
         log::debug!("read of {key} from the platform failed: {error}");
         if matches!(error, Error::Absent) {
             self.control.platform_missing(kind(key), asked);
