--- a/crates/client/src/command/explain.rs
+++ b/crates/client/src/command/explain.rs
@@ -1,18 +1,18 @@
-use std::io;
 use std::io::Write;
+use std::io;
 
-use super::Context;
 use crate::Exit;
 use crate::ask::Ask;
-use crate::fleet;
 use crate::fleet::Finding;
 use crate::fleet::Fleet;
 use crate::fleet::Place;
-use crate::view::explain;
+use crate::fleet;
 use crate::view::explain::Subject;
+use crate::view::explain;
 use jackdawpin_core::name;
 use jackdawpin_wire::Explanation;
 use jackdawpin_wire::Server;
+use super::Context;
 
 /// Explanations with the names of the entries that gave them.
 type Explanations = Vec<(String, Explanation)>;
--- a/crates/client/src/command/status.rs
+++ b/crates/client/src/command/status.rs
@@ -1,11 +1,11 @@
-use std::io;
 use std::io::Write;
+use std::io;
 
-use super::Context;
 use crate::Exit;
 use crate::ask::Ask;
 use crate::fleet::findings;
 use crate::view::status;
+use super::Context;
 
 /// Shows each entry and the servers that it holds.
 pub(super) async fn run<A: Ask, O: Write, E: Write>(
--- a/crates/client/src/command/top.rs
+++ b/crates/client/src/command/top.rs
@@ -1,8 +1,6 @@
-use std::io;
 use std::io::Write;
+use std::io;
 
-use super::Context;
-use super::INTERVAL;
 use crate::Exit;
 use crate::ask::Ask;
 use crate::fleet::Finding;
@@ -11,6 +9,8 @@
 use crate::fleet::findings;
 use crate::fleet::rows;
 use crate::view::top;
+use super::Context;
+use super::INTERVAL;
 
 /// Shows rates and latency per service, once or until the process is ended. Rates need two views of
 /// the fleet, so the first output comes after one interval.
--- a/crates/client/src/fleet/rate.rs
+++ b/crates/client/src/fleet/rate.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeMap;
 
-use super::Fleet;
 use jackdawpin_wire::Service;
 use jackdawpin_wire::Status;
 use jackdawpin_wire::Totals;
+use super::Fleet;
 
 /// What happens to a service, over all entries that answered.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/crates/client/src/fleet/roster.rs
+++ b/crates/client/src/fleet/roster.rs
@@ -1,11 +1,11 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
+use crate::ask::Error;
+use jackdawpin_wire::Status;
 use super::Fleet;
 use super::Member;
 use super::Unreachable;
-use crate::ask::Error;
-use jackdawpin_wire::Status;
 
 /// An entry to ask.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/client/src/view/mod.rs
+++ b/crates/client/src/view/mod.rs
@@ -17,12 +17,12 @@
 use serde_json::Value;
 use serde_json::json;
 
-use self::format::clean;
-use self::table::Table;
-use self::table::left;
 use crate::fleet::Finding;
 use crate::fleet::Fleet;
 use crate::fleet::Unreachable;
+use self::format::clean;
+use self::table::Table;
+use self::table::left;
 
 /// The entries that gave no answer, and what is wrong with the others. Empty if there is nothing to
 /// say.
--- a/crates/client/src/view/status.rs
+++ b/crates/client/src/view/status.rs
@@ -3,6 +3,11 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::fleet::Finding;
+use crate::fleet::Fleet;
+use crate::fleet::Member;
+use jackdawpin_wire::Server;
+use jackdawpin_wire::Status;
 use super::findings_json;
 use super::format;
 use super::notes;
@@ -11,11 +16,6 @@
 use super::table::right;
 use super::unreachable_json;
 use super::value;
-use crate::fleet::Finding;
-use crate::fleet::Fleet;
-use crate::fleet::Member;
-use jackdawpin_wire::Server;
-use jackdawpin_wire::Status;
 
 /// Tables of entries and servers, then the entries that gave no answer and warnings.
 pub fn text(fleet: &Fleet, findings: &[Finding]) -> String {
--- a/crates/client/src/view/timeline.rs
+++ b/crates/client/src/view/timeline.rs
@@ -3,18 +3,18 @@
 use serde_json::Value;
 use serde_json::json;
 
-use super::findings_json;
-use super::format;
-use super::format::clean;
-use super::notes;
-use super::unreachable_json;
-use super::value;
 use crate::fleet::Finding;
 use crate::fleet::Fleet;
 use crate::fleet::Gap;
 use crate::fleet::Record;
 use crate::fleet::Unreachable;
 use jackdawpin_wire::Stamp;
+use super::findings_json;
+use super::format::clean;
+use super::format;
+use super::notes;
+use super::unreachable_json;
+use super::value;
 
 /// Width of the longest kind of event, `config_accepted`.
 const KIND_WIDTH: usize = 15;
--- a/crates/client/src/view/top.rs
+++ b/crates/client/src/view/top.rs
@@ -3,6 +3,9 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::fleet::Finding;
+use crate::fleet::Fleet;
+use crate::fleet::Row;
 use super::findings_json;
 use super::format;
 use super::notes;
@@ -11,9 +14,6 @@
 use super::table::right;
 use super::unreachable_json;
 use super::value;
-use crate::fleet::Finding;
-use crate::fleet::Fleet;
-use crate::fleet::Row;
 
 /// Moves to the top left corner of the terminal and erases everything below.
 pub const ERASE: &str = "\x1b[H\x1b[J";
--- a/crates/client/tests/views.rs
+++ b/crates/client/tests/views.rs
@@ -20,8 +20,8 @@
 use jackdawpin_client::fleet::findings;
 use jackdawpin_client::fleet::rows;
 use jackdawpin_client::settings::Filter;
-use jackdawpin_client::view;
 use jackdawpin_client::view::explain::Subject;
+use jackdawpin_client::view;
 
 /// Guards against entries, warnings or reasons that are missing from the output, digests that lose
 /// bits in JSON, and control characters that reach the terminal.
--- a/crates/core/src/config/build.rs
+++ b/crates/core/src/config/build.rs
@@ -4,6 +4,7 @@
 
 use quick_error::quick_error;
 
+use crate::name;
 use super::Config;
 use super::Exception;
 use super::FIELDS;
@@ -13,7 +14,6 @@
 use super::Scope;
 use super::Service;
 use super::field;
-use crate::name;
 
 quick_error! {
     /// Why a configuration is not valid.
--- a/crates/core/src/config/explain.rs
+++ b/crates/core/src/config/explain.rs
@@ -1,11 +1,11 @@
 use std::fmt;
 
+use crate::name;
 use super::Config;
 use super::Override;
 use super::Policy;
 use super::Reason;
 use super::Scope;
-use crate::name;
 
 /// Where a value comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/core/src/control/beat.rs
+++ b/crates/core/src/control/beat.rs
@@ -3,8 +3,6 @@
 
 use futures_util::future::join_all;
 
-use super::Control;
-use super::Hello;
 use crate::member::Capacity;
 use crate::member::Heartbeat;
 use crate::member::MAX_PEERS;
@@ -15,6 +13,8 @@
 use crate::port::Clock;
 use crate::port::Mesh;
 use crate::port::Ports;
+use super::Control;
+use super::Hello;
 
 /// Time between two heartbeats to a peer. Three missed ones make it silent.
 const INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/core/src/control/fetch.rs
+++ b/crates/core/src/control/fetch.rs
@@ -1,7 +1,5 @@
 use std::time::Duration;
 
-use super::Control;
-use super::Kind;
 use crate::intent::Decision;
 use crate::intent::FETCH_TIMEOUT;
 use crate::intent::Order;
@@ -11,6 +9,8 @@
 use crate::port::Mesh;
 use crate::port::Ports;
 use crate::port::Reader;
+use super::Control;
+use super::Kind;
 
 /// Time between two looks for newer documents. A fetch that failed is tried again then.
 const INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -22,8 +22,6 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use self::probe::Probes;
-use self::reconcile::Basis;
 use crate::event::Event;
 use crate::flow::Tables;
 use crate::intent::Fetch;
@@ -35,6 +33,8 @@
 use crate::port::Journal;
 use crate::port::Ports;
 use crate::time::Instant;
+use self::probe::Probes;
+use self::reconcile::Basis;
 
 pub use self::holding::Holding;
 pub use self::holding::holdings;
--- a/crates/core/src/control/probe.rs
+++ b/crates/core/src/control/probe.rs
@@ -5,7 +5,6 @@
 
 use futures_util::future::join_all;
 
-use super::Control;
 use crate::flow::Route;
 use crate::lease::Target;
 use crate::name;
@@ -14,6 +13,7 @@
 use crate::port::Upstream;
 use crate::probe::Budget;
 use crate::time::Instant;
+use super::Control;
 
 /// Time between two looks at which probes are due.
 const INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/core/src/event/timeline.rs
+++ b/crates/core/src/event/timeline.rs
@@ -1,10 +1,10 @@
+use crate::lock::Mutex;
+use crate::lock::Rank;
 use super::Clock;
 use super::Event;
 use super::Record;
 use super::Ring;
 use super::Stamp;
-use crate::lock::Mutex;
-use crate::lock::Rank;
 
 /// Largest number of events returned at once, which bounds the time the lock is held.
 pub const MAX_PAGE: usize = 256;
--- a/crates/core/src/flow/admit.rs
+++ b/crates/core/src/flow/admit.rs
@@ -1,8 +1,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Route;
-use super::Router;
 use crate::config::Service;
 use crate::ledger::Entry;
 use crate::outcome::Doubt;
@@ -14,6 +12,8 @@
 use crate::request::Content;
 use crate::request::Id;
 use crate::request::Request;
+use super::Route;
+use super::Router;
 
 /// What a caller hands in.
 #[derive(Debug, Clone)]
--- a/crates/core/src/gate/mod.rs
+++ b/crates/core/src/gate/mod.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use crate::intent;
 use crate::intent::Evidence;
+use crate::intent;
 use crate::outcome::Refusal;
 use crate::port::Journal;
 use crate::time::Instant;
--- a/crates/core/src/intent/fence.rs
+++ b/crates/core/src/intent/fence.rs
@@ -1,11 +1,11 @@
 use std::time::Duration;
 
-use super::Platform;
-use super::Table;
 use crate::member::Contact;
 use crate::member::Peers;
 use crate::member::SILENT_AFTER;
 use crate::time::Instant;
+use super::Platform;
+use super::Table;
 
 /// How long an entry may go on without contact to those that tell it the intent: five heartbeats,
 /// and the few seconds within which a failure domain taken out of service must get no new work.
--- a/crates/core/src/intent/fetch.rs
+++ b/crates/core/src/intent/fetch.rs
@@ -2,9 +2,9 @@
 
 use smallvec::SmallVec;
 
-use super::Order;
 use crate::name;
 use crate::time::Instant;
+use super::Order;
 
 /// Longest time that one fetch may take. A fetch that was not reported as ended by then no longer
 /// keeps others from starting.
--- a/crates/core/src/intent/gate.rs
+++ b/crates/core/src/intent/gate.rs
@@ -4,14 +4,14 @@
 
 use smallvec::SmallVec;
 
-use super::CATCH_UP;
-use super::Evidence;
-use super::FENCE_AFTER;
 use crate::event::Event;
 use crate::lock::Mutex;
 use crate::lock::Rank;
 use crate::port::Journal;
 use crate::time::Instant;
+use super::CATCH_UP;
+use super::Evidence;
+use super::FENCE_AFTER;
 
 /// Bounds the wait for newer documents.
 #[derive(Debug, Default)]
--- a/crates/core/src/intent/slot.rs
+++ b/crates/core/src/intent/slot.rs
@@ -2,13 +2,13 @@
 
 use smallvec::SmallVec;
 
-use super::Decision;
-use super::Order;
-use super::Source;
-use crate::event;
 use crate::event::Event;
+use crate::event;
 use crate::name;
 use crate::time::Instant;
+use super::Decision;
+use super::Order;
+use super::Source;
 
 /// How many refused documents are remembered, so that each is reported once and not fetched again.
 /// More than one is only needed when peers of several program versions disagree on what is valid.
--- a/crates/core/src/lease/batch.rs
+++ b/crates/core/src/lease/batch.rs
@@ -1,8 +1,8 @@
 use std::collections::BTreeMap;
 
-use super::Target;
 use crate::name;
 use crate::time::Instant;
+use super::Target;
 
 /// What to send to one witness. It is kept until the answer arrives.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/core/src/lease/promises.rs
+++ b/crates/core/src/lease/promises.rs
@@ -1,10 +1,10 @@
 use std::collections::BTreeMap;
 
+use crate::name;
+use crate::time::Instant;
 use super::Claimant;
 use super::HOLD;
 use super::Target;
-use crate::name;
-use crate::time::Instant;
 
 /// Largest number of promises kept, twice the number of servers of the design target. More are
 /// refused: dropping a promise early could give a server to two entries.
--- a/crates/core/src/member/peers/table.rs
+++ b/crates/core/src/member/peers/table.rs
@@ -5,10 +5,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::Heartbeat;
-use super::Origin;
-use super::SILENT_AFTER;
-use super::peer::Peer;
 use crate::event::Event;
 use crate::lock::Mutex;
 use crate::lock::Rank;
@@ -18,6 +14,10 @@
 use crate::name;
 use crate::port::Journal;
 use crate::time::Instant;
+use super::Heartbeat;
+use super::Origin;
+use super::SILENT_AFTER;
+use super::peer::Peer;
 
 /// Largest number of entries that are remembered, far above the entries of any fleet. It bounds the
 /// memory that heartbeats under invented names can take.
--- a/crates/core/src/pool/server.rs
+++ b/crates/core/src/pool/server.rs
@@ -4,15 +4,15 @@
 
 use smallvec::SmallVec;
 
+use crate::config::Policy;
+use crate::name;
+use crate::time::Instant;
 use super::Permit;
 use super::limit::Change;
 use super::limit::Limit;
 use super::limit::Sample;
 use super::limit::Tuning;
 use super::limit::Warmth;
-use crate::config::Policy;
-use crate::name;
-use crate::time::Instant;
 
 /// How long a place stays taken after an attempt whose end at the server is not known.
 const LINGER: Duration = Duration::from_secs(1);
--- a/crates/core/src/pool/state.rs
+++ b/crates/core/src/pool/state.rs
@@ -3,6 +3,8 @@
 
 use tokio::sync::oneshot;
 
+use crate::name;
+use crate::time::Instant;
 use super::Held;
 use super::Lead;
 use super::Notice;
@@ -16,8 +18,6 @@
 use super::server::Server;
 use super::server::Spec;
 use super::server::View;
-use crate::name;
-use crate::time::Instant;
 
 /// Peers that may wait for a vacancy at once. One entry has one watch for a service at most, so
 /// this is above the number of entries of a region.
--- a/crates/core/tests/flow.rs
+++ b/crates/core/tests/flow.rs
@@ -37,7 +37,6 @@
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Journal;
 use jackdawpin_core::time::Instant;
-
 use self::flow_support::ATTEMPTS;
 use self::flow_support::Fake;
 use self::flow_support::Server;
--- a/crates/core/tests/session.rs
+++ b/crates/core/tests/session.rs
@@ -30,7 +30,6 @@
 use jackdawpin_core::name;
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::port::Clock;
-
 use self::flow_support::EPOCH_MILLIS;
 use self::flow_support::Fake;
 use self::flow_support::Server;
--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -22,14 +22,15 @@
 }
 
 impl Adapters {
-    /// Creates the adapters. The bodies of answers count against `budget`.
-    pub fn new(budget: Budget) -> Self {
+    /// Creates the adapters. The bodies of answers count against `budget`; messages to peers go
+    /// through `control`.
+    pub fn new(budget: Budget, control: Arc<Client>) -> Self {
         let client = Arc::new(Client::new(budget));
         Self {
             clock: Boot,
             random: Random,
             upstream: Upstream::new(client.clone(), Boot),
-            peer: Peer::new(client, Boot),
+            peer: Peer::new(client, control, Boot),
             reader: Reader,
         }
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -31,8 +31,8 @@
 use jackdawpin_core::port::Ports;
 use jackdawpin_wire as wire;
 
-/// Largest message that is read: the largest body and its envelope.
-const MAX_BODY: usize = (64 << 20) + wire::MAX_ENVELOPE;
+/// Largest forwarded request: the largest body and its envelope.
+const MAX_FORWARD: usize = (64 << 20) + wire::MAX_ENVELOPE;
 
 const TEXT: &str = "text/plain; charset=utf-8";
 
@@ -91,21 +91,23 @@
     router: Arc<Router<O>>,
     control: Arc<Control<O>>,
     budget: Budget,
+    control_budget: Budget,
     body_timeout: Duration,
     telemetry: Arc<Telemetry>,
 }
 
 impl<O: Ports> Listener<O> {
-    /// Creates the service for the control listener. All bodies together take at most `budget`, and
-    /// one must arrive within `body_timeout`.
+    /// Creates the service for the control listener. Forwarded requests together take at most
+    /// `budget`, all other messages `control_budget`; each must arrive within `body_timeout`.
     pub fn new(
         router: Arc<Router<O>>,
         control: Arc<Control<O>>,
         budget: Budget,
+        control_budget: Budget,
         body_timeout: Duration,
         telemetry: Arc<Telemetry>,
     ) -> Self {
-        Self { router, control, budget, body_timeout, telemetry }
+        Self { router, control, budget, control_budget, body_timeout, telemetry }
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Error> {
@@ -129,7 +131,11 @@
 
     async fn post(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Error> {
         let (parts, body) = request.into_parts();
-        let bytes = body::read(body, MAX_BODY, self.body_timeout, &self.budget).await?;
+        let (limit, budget) = match parts.uri.path() {
+            wire::path::FORWARD => (MAX_FORWARD, &self.budget),
+            _ => (wire::MAX_MESSAGE, &self.control_budget),
+        };
+        let bytes = body::read(body, limit, self.body_timeout, budget).await?;
         match parts.uri.path() {
             wire::path::HEARTBEAT => self.heartbeat(&bytes),
             wire::path::LEASE => self.lease(&bytes),
--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -3,7 +3,8 @@
 //! The request path needs to say "not run" only where it is proved. This client therefore tells
 //! apart: no connection, a connection that closed before it took the request, and a connection that
 //! broke after it. It uses hyper directly, because volo-http's client reports neither, has no
-//! timeout for connecting, and resolves names, which entries never need.
+//! timeout for connecting, and resolves names, which entries never need: it reads
+//! `/etc/resolv.conf` when it is built and panics if the file names no server.
 //!
 //! A connection serves one exchange at a time and goes back to the pool only after a whole answer.
 //! A cancelled or timed-out exchange closes its connection.
@@ -21,12 +22,13 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use prometheus_client::metrics::gauge::Gauge;
 use tokio::net::TcpStream;
 
-use self::idle::Idle;
-use self::idle::Sender;
 use crate::listen::Budget;
 use crate::listen::body;
+use self::idle::Idle;
+use self::idle::Sender;
 
 pub use self::error::Error;
 
@@ -53,6 +55,16 @@
     budget: Budget,
 }
 
+/// Bytes of bodies that a client of its own may hold at once.
+const DEFAULT_BYTES: usize = 64 << 20;
+
+impl Default for Client {
+    /// Creates a client with a budget of its own, of 64 MiB.
+    fn default() -> Self {
+        Self::new(Budget::new(DEFAULT_BYTES, Gauge::default()))
+    }
+}
+
 impl Client {
     /// Creates a client without connections. The bodies of answers count against `budget`.
     pub fn new(budget: Budget) -> Self {
@@ -126,8 +138,11 @@
     ) -> Result<Response<Bytes>, Error> {
         let (parts, body) = response.into_parts();
         // The exchange as a whole has a time limit, so the body needs none of its own.
-        let body = body::read(body, limit, Duration::MAX, &self.budget).await;
-        let body = body.map_err(|err| Error::Answer(err.to_string()))?;
+        let body = match body::read(body, limit, Duration::MAX, &self.budget).await {
+            Ok(body) => body,
+            Err(body::Error::Large(limit)) => return Err(Error::Large(limit)),
+            Err(err) => return Err(Error::Answer(err.to_string())),
+        };
         self.idle.put(address, sender);
         Ok(Response::from_parts(parts, body))
     }
--- a/crates/daemon/src/front/call.rs
+++ b/crates/daemon/src/front/call.rs
@@ -10,9 +10,6 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
-use super::CALL;
-use super::Front;
-use super::response;
 use crate::headers;
 use crate::listen::body;
 use jackdawpin_core::flow::Submission;
@@ -20,6 +17,9 @@
 use jackdawpin_core::port::Ports;
 use jackdawpin_core::request::Content;
 use jackdawpin_core::request::Id;
+use super::CALL;
+use super::Front;
+use super::response;
 
 quick_error! {
     /// Why a call is malformed.
--- a/crates/daemon/src/listen/progress.rs
+++ b/crates/daemon/src/listen/progress.rs
@@ -3,8 +3,8 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering::Relaxed;
 use std::task::Context;
 use std::task::Poll;
--- a/crates/daemon/src/logs/line.rs
+++ b/crates/daemon/src/logs/line.rs
@@ -1,7 +1,7 @@
 //! Encodes log lines.
 
-use std::fmt;
 use std::fmt::Write;
+use std::fmt;
 use std::time::SystemTime;
 
 use chrono::DateTime;
--- a/crates/daemon/src/metrics/entry.rs
+++ b/crates/daemon/src/metrics/entry.rs
@@ -5,8 +5,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-use super::labels::ReasonLabels;
 use jackdawpin_core::outcome::Refusal;
+use super::labels::ReasonLabels;
 
 /// Metrics of the entry as a whole.
 #[derive(Debug, Clone, Default)]
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -21,10 +21,10 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use self::labels::EndLabels;
-use self::labels::ServiceLabels;
 use crate::listen::Counters;
 use jackdawpin_core::name;
+use self::labels::EndLabels;
+use self::labels::ServiceLabels;
 
 pub use self::entry::Entry;
 pub use self::labels::End;
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -19,16 +19,16 @@
 use quick_error::quick_error;
 use serde::Serialize;
 
-use crate::exchange;
 use crate::exchange::Client;
+use crate::exchange;
 use crate::upstream;
 use jackdawpin_core::name;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
 use jackdawpin_core::outcome::NotRun;
-use jackdawpin_core::port;
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Forwarded;
+use jackdawpin_core::port;
 use jackdawpin_core::request::Attempt;
 use jackdawpin_core::time::Instant;
 use jackdawpin_wire as wire;
@@ -68,14 +68,18 @@
 /// Sends messages over pooled connections.
 #[derive(Debug, Clone)]
 pub struct Peer<C> {
+    /// For forwarded attempts.
     client: Arc<Client>,
+    /// For all other messages.
+    control: Arc<Client>,
     clock: C,
 }
 
 impl<C: Clock> Peer<C> {
-    /// Creates an adapter that shares the connections of `client`.
-    pub fn new(client: Arc<Client>, clock: C) -> Self {
-        Self { client, clock }
+    /// Creates an adapter that forwards attempts through `client` and sends all other messages through
+    /// `control`.
+    pub fn new(client: Arc<Client>, control: Arc<Client>, clock: C) -> Self {
+        Self { client, control, clock }
     }
 
     /// Sends `message` and returns the bytes of the answer.
@@ -91,7 +95,8 @@
         timeout: Duration,
     ) -> Result<Bytes, Error> {
         let body = Bytes::from(wire::encode(message)?);
-        self.call(address, Method::POST, path, body, timeout, wire::MAX_MESSAGE).await
+        let request = request(Method::POST, path, body);
+        call(&self.control, address, request, timeout, wire::MAX_MESSAGE).await
     }
 
     /// Fetches the message at `path`.
@@ -105,32 +110,33 @@
         path: &'static str,
         timeout: Duration,
     ) -> Result<Bytes, Error> {
-        let body = Bytes::new();
-        self.call(address, Method::GET, path, body, timeout, wire::MAX_MESSAGE).await
+        let request = request(Method::GET, path, Bytes::new());
+        call(&self.control, address, request, timeout, wire::MAX_MESSAGE).await
     }
+}
 
-    async fn call(
-        &self,
-        address: SocketAddr,
-        method: Method,
-        path: &'static str,
-        body: Bytes,
-        timeout: Duration,
-        limit: usize,
-    ) -> Result<Bytes, Error> {
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = method;
-        *request.uri_mut() = http::Uri::from_static(path);
-        let map = request.headers_mut();
-        map.insert(CONTENT_TYPE, HeaderValue::from_static(wire::MEDIA_TYPE));
-        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
-            map.insert(HOST, host);
-        }
-        let response = self.client.exchange(address, request, timeout, limit).await?;
-        match response.status() {
-            StatusCode::OK => Ok(response.into_body()),
-            status => Err(Error::Status(status)),
-        }
+fn request(method: Method, path: &'static str, body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = http::Uri::from_static(path);
+    request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(wire::MEDIA_TYPE));
+    request
+}
+
+async fn call(
+    client: &Client,
+    address: SocketAddr,
+    mut request: Request<Full<Bytes>>,
+    timeout: Duration,
+    limit: usize,
+) -> Result<Bytes, Error> {
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    let response = client.exchange(address, request, timeout, limit).await?;
+    match response.status() {
+        StatusCode::OK => Ok(response.into_body()),
+        status => Err(Error::Status(status)),
     }
 }
 
@@ -144,7 +150,8 @@
         let path = wire::path::FORWARD;
         let answer = usize::try_from(attempt.max_answer).unwrap_or(usize::MAX);
         let limit = answer.saturating_add(wire::MAX_ENVELOPE);
-        match self.call(address, Method::POST, path, body.into(), left, limit).await {
+        let request = request(Method::POST, path, body.into());
+        match call(&self.client, address, request, left, limit).await {
             Ok(bytes) => forward::decode(&attempt, &bytes),
             Err(Error::Exchange(err)) => {
                 log::debug!("forward of {} to {vm} failed: {err}", attempt.request.id);
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -8,22 +8,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use prometheus_client::metrics::gauge::Gauge;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use self::error::Error;
-use self::sink::Sink;
 use crate::adapters::Adapters;
 use crate::clock;
 use crate::control::Listener;
+use crate::exchange::Client;
 use crate::front::Front;
-use crate::listen;
 use crate::listen::Budget;
-use crate::platform;
+use crate::listen;
 use crate::platform::Http;
 use crate::platform::Key;
 use crate::platform::Watch;
+use crate::platform;
 use crate::settings::Settings;
 use crate::stop::Signals;
 use crate::telemetry::Telemetry;
@@ -32,11 +32,17 @@
 use jackdawpin_core::flow::Router;
 use jackdawpin_core::flow::Tables;
 use jackdawpin_core::port::Clock;
+use self::error::Error;
+use self::sink::Sink;
 
 /// How long a planned stop waits beyond the life of an address answer: a request that a caller sends
 /// at its end is under way for a one-way latency of about 10 ms, and callers' timers are not exact.
 const MARGIN: Duration = Duration::from_millis(500);
 
+/// Bytes of all messages of peers and documents held at once: a few documents of 1 MB from several
+/// peers.
+const CONTROL_BYTES: usize = 16 << 20;
+
 /// The parts of a running daemon.
 struct Daemon {
     settings: Settings,
@@ -44,6 +50,9 @@
     control: Arc<Control<Adapters>>,
     telemetry: Arc<Telemetry>,
     budget: Budget,
+    control_budget: Budget,
+    /// Connections to the platform and for messages to peers.
+    client: Arc<Client>,
     /// Ends the tasks that serve no request.
     cancel: CancellationToken,
 }
@@ -73,9 +82,8 @@
     tokio::spawn(signals.run(stop.clone()));
     let callers = bind("listen", settings.listen)?;
     let peers = bind("control", settings.control)?;
-    let platform = Http::new(settings.platform)?;
     let daemon = Daemon::new(settings);
-    daemon.spawn_tasks(platform);
+    daemon.spawn_tasks();
     let front_stop = CancellationToken::new();
     let control_stop = CancellationToken::new();
     let front = daemon.spawn_front(callers, &front_stop);
@@ -119,30 +127,36 @@
         let telemetry = Arc::new(Telemetry::default());
         let buffered = telemetry.metrics().entry.buffered.clone();
         let budget = Budget::new(settings.max_buffered_bytes, buffered);
-        let ports = Arc::new(Adapters::new(budget.clone()));
+        // Messages of peers and documents must get through when callers have used up the budget.
+        let control_budget = Budget::new(CONTROL_BYTES, Gauge::default());
+        let client = Arc::new(Client::new(control_budget.clone()));
+        let ports = Arc::new(Adapters::new(budget.clone(), client.clone()));
         let seeds = settings.seeds.clone();
         Self {
             router: Arc::new(Router::new(tables.clone(), ports.clone())),
             control: Arc::new(Control::new(identity, seeds, tables, ports)),
             telemetry,
             budget,
+            control_budget,
+            client,
             cancel: CancellationToken::new(),
             settings,
         }
     }
 
-    fn spawn_tasks(&self, platform: Http) {
+    fn spawn_tasks(&self) {
         let (control, cancel) = (self.control.clone(), self.cancel.clone());
         tokio::spawn(async move { control.run(&cancel).await });
         let (router, cancel) = (self.router.clone(), self.cancel.clone());
         tokio::spawn(async move { scouts::run(router, cancel).await });
+        let platform = Http::new(self.client.clone(), self.settings.platform);
         let keys = &self.settings.keys;
         self.spawn_watch(platform.clone(), Key::Config, keys.config.clone());
         self.spawn_watch(platform, Key::Vms, keys.vms.clone());
     }
 
     fn spawn_watch(&self, fetch: Http, key: Key, name: String) {
-        let sink = Sink::new(self.control.clone(), self.telemetry.clone());
+        let sink = Sink::new(self.control.clone(), &self.telemetry.metrics().entry);
         let cancel = self.cancel.clone();
         tokio::spawn(async move {
             let (clock, random) = (&clock::Boot, &clock::Random);
@@ -168,6 +182,7 @@
             self.router.clone(),
             self.control.clone(),
             self.budget.clone(),
+            self.control_budget.clone(),
             self.settings.limits.body_timeout,
             self.telemetry.clone(),
         ));
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -6,6 +6,8 @@
 
 use log::LevelFilter;
 
+use crate::listen::Limits;
+use jackdawpin_core::name;
 use super::Format;
 use super::Keys;
 use super::Log;
@@ -13,12 +15,10 @@
 use super::problem::Problem;
 use super::problem::Problems;
 use super::raw::Raw;
-use super::rule;
 use super::rule::Rule;
-use super::table;
+use super::rule;
 use super::table::Setting;
-use crate::listen::Limits;
-use jackdawpin_core::name;
+use super::table;
 
 impl TryFrom<Raw> for Settings {
     type Error = Problems;
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -7,9 +7,9 @@
 use gumdrop::ParsingStyle;
 
 use super::problem::Problem;
-use super::table;
 use super::table::Action;
 use super::table::Setting;
+use super::table;
 
 /// Values as given, not yet checked.
 #[derive(Debug, Default)]
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -23,9 +23,9 @@
 use jackdawpin_core::outcome::Evidence;
 use jackdawpin_core::outcome::NotRun;
 use jackdawpin_core::pool::Report;
-use jackdawpin_core::port;
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Reply;
+use jackdawpin_core::port;
 use jackdawpin_core::request::Attempt;
 
 /// Largest answer to a probe in bytes.
@@ -82,7 +82,7 @@
     match err {
         Error::NotSent(_) => Evidence::NotRun(NotRun::NotSent),
         Error::Broken(_) => Evidence::MayHaveRun(Doubt::Broken),
-        Error::Answer(_) => Evidence::MayHaveRun(Doubt::BadAnswer),
+        Error::Answer(_) | Error::Large(_) => Evidence::MayHaveRun(Doubt::BadAnswer),
         Error::Timeout => Evidence::MayHaveRun(Doubt::Timeout),
     }
 }
--- a/crates/document/src/config/mod.rs
+++ b/crates/document/src/config/mod.rs
@@ -12,10 +12,10 @@
 use toml::Spanned;
 use toml::de::DeTable;
 
-use self::table::Table;
 use crate::Faults;
 use crate::fault::Log;
 use jackdawpin_core::config::Config;
+use self::table::Table;
 
 /// Reads a configuration.
 ///
--- a/crates/testkit/src/caller/run.rs
+++ b/crates/testkit/src/caller/run.rs
@@ -14,6 +14,12 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::http::Error as ExchangeError;
+use crate::http::Pool;
+use crate::http::REQUEST_ID;
+use crate::http::TIMEOUT;
+use crate::http::Whole;
+use crate::http::fetch;
 use super::Addresses;
 use super::Call;
 use super::Options;
@@ -21,12 +27,6 @@
 use super::Plan;
 use super::Record;
 use super::classify;
-use crate::http::Error as ExchangeError;
-use crate::http::Pool;
-use crate::http::REQUEST_ID;
-use crate::http::TIMEOUT;
-use crate::http::Whole;
-use crate::http::fetch;
 
 /// Addresses that a request tries to connect to before it gives up.
 const MAX_CONNECTS: usize = 3;
--- a/crates/testkit/src/fleet/error.rs
+++ b/crates/testkit/src/fleet/error.rs
@@ -4,9 +4,9 @@
 
 use quick_error::quick_error;
 
-use super::Program;
 use crate::http::Error as ExchangeError;
 use jackdawpin_wire as wire;
+use super::Program;
 
 quick_error! {
     /// Why a fleet could not do what it was asked to.
--- a/crates/testkit/src/fleet/run.rs
+++ b/crates/testkit/src/fleet/run.rs
@@ -13,6 +13,10 @@
 use quick_error::ResultExt;
 use rustix::process::Signal;
 
+use crate::caller::ServerLedger;
+use crate::http::Whole;
+use crate::http::fetch;
+use crate::server::Journal;
 use super::CONTROL_PORT;
 use super::Documents;
 use super::Error;
@@ -26,10 +30,6 @@
 use super::State;
 use super::Vm;
 use super::launch;
-use crate::caller::ServerLedger;
-use crate::http::Whole;
-use crate::http::fetch;
-use crate::server::Journal;
 
 /// Name of the only region.
 const REGION: &str = "r1";
--- a/crates/testkit/src/fleet/timeline.rs
+++ b/crates/testkit/src/fleet/timeline.rs
@@ -1,12 +1,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::Error;
 use crate::http::fetch;
 use jackdawpin_wire::Event;
 use jackdawpin_wire::Page;
 use jackdawpin_wire::decode;
 use jackdawpin_wire::path::TIMELINE;
+use super::Error;
 
 /// Time for an entry to answer.
 const LIMIT: Duration = Duration::from_secs(5);
--- a/crates/testkit/src/platform/adapter.rs
+++ b/crates/testkit/src/platform/adapter.rs
@@ -20,11 +20,6 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use super::Answer;
-use super::Counts;
-use super::Down;
-use super::Model;
-use super::Read;
 use crate::http::Body;
 use crate::http::Hangup;
 use crate::http::Limits;
@@ -34,6 +29,11 @@
 use crate::http::json;
 use crate::http::serve;
 use crate::http::text;
+use super::Answer;
+use super::Counts;
+use super::Down;
+use super::Model;
+use super::Read;
 
 /// Wait of a blocking query that names none, as the published API says.
 const DEFAULT_WAIT: Duration = Duration::from_secs(300);
--- a/crates/testkit/src/server/adapter.rs
+++ b/crates/testkit/src/server/adapter.rs
@@ -15,6 +15,13 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::http::Body;
+use crate::http::Hangup;
+use crate::http::Limits;
+use crate::http::Running;
+use crate::http::Stats;
+use crate::http::json;
+use crate::http::serve;
 use super::Admission;
 use super::Arrival;
 use super::Counts;
@@ -25,16 +32,9 @@
 use super::Options;
 use super::Phase;
 use super::Ticket;
-use super::answer;
 use super::answer::Call;
+use super::answer;
 use super::control;
-use crate::http::Body;
-use crate::http::Hangup;
-use crate::http::Limits;
-use crate::http::Running;
-use crate::http::Stats;
-use crate::http::json;
-use crate::http::serve;
 
 /// Time of a probe unless set otherwise.
 const PROBE_COST: Duration = Duration::from_millis(5);
--- a/crates/testkit/src/server/answer.rs
+++ b/crates/testkit/src/server/answer.rs
@@ -2,12 +2,11 @@
 
 use http::Response;
 use http::StatusCode;
-use http::header;
 use http::header::HeaderValue;
+use http::header;
 use http::request::Parts;
 use serde_json::json;
 
-use super::Load;
 use crate::http::ATTEMPT;
 use crate::http::Body;
 use crate::http::LOAD;
@@ -15,6 +14,7 @@
 use crate::http::REQUEST_ID;
 use crate::http::TIMEOUT;
 use crate::http::json;
+use super::Load;
 
 /// Time for a request that names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
--- a/crates/testkit/src/server/control.rs
+++ b/crates/testkit/src/server/control.rs
@@ -4,14 +4,14 @@
 use http::StatusCode;
 use http::Uri;
 
-use super::Fault;
-use super::Faults;
-use super::Mislead;
-use super::Service;
 use crate::http::Body;
 use crate::http::Query;
 use crate::http::json;
 use crate::http::text;
+use super::Fault;
+use super::Faults;
+use super::Mislead;
+use super::Service;
 
 /// Length of a fault whose request names none.
 const DEFAULT_TIME: Duration = Duration::from_secs(1);
--- a/crates/testkit/src/server/journal.rs
+++ b/crates/testkit/src/server/journal.rs
@@ -1,6 +1,6 @@
 use std::fs::File;
-use std::io;
 use std::io::Write;
+use std::io;
 use std::path::Path;
 
 use super::Event;
