Measure entries and count the bytes of connections

Latency, throughput and the cost of control work had no measurement, and the daemon counted no bytes and no reads from the platform although the metrics for the latter existed. Connections to servers and to other entries now have pools of their own, so that control bytes can be told apart. The stand-in of a server uses no timer for work of 0, because the timer's granularity of 1 ms hides an added latency of some 0.1 ms; the load tool records by how much it was late itself for the same reason.

--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -7,6 +7,7 @@
 use crate::exchange::Client;
 use crate::peer::Peer;
 use crate::reader::Reader;
+use crate::traffic::Traffic;
 use crate::upstream::Upstream;
 use jackdawpin_core::port::Ports;
 
@@ -20,14 +21,15 @@
     reader: Reader,
 }
 
-impl Default for Adapters {
-    fn default() -> Self {
-        let client = Arc::new(Client::default());
+impl Adapters {
+    /// Creates the adapters. The bytes of connections to servers and to other entries are counted
+    /// apart, because only the latter carry control messages.
+    pub fn new(servers: Traffic, peers: Traffic) -> Self {
         Self {
             clock: Boot,
             random: Random,
-            upstream: Upstream::new(client.clone(), Boot),
-            peer: Peer::new(client, Boot),
+            upstream: Upstream::new(Arc::new(Client::new(servers)), Boot),
+            peer: Peer::new(Arc::new(Client::new(peers)), Boot),
             reader: Reader,
         }
     }
--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -27,6 +27,8 @@
 
 use self::idle::Idle;
 use self::idle::Sender;
+use crate::traffic::Counted;
+use crate::traffic::Traffic;
 
 pub use self::error::Error;
 
@@ -50,9 +52,15 @@
 #[derive(Debug, Default)]
 pub struct Client {
     idle: Idle,
+    traffic: Traffic,
 }
 
 impl Client {
+    /// Creates a pool that counts the bytes of its connections in `traffic`.
+    pub fn new(traffic: Traffic) -> Self {
+        Self { idle: Idle::default(), traffic }
+    }
+
     /// Sends a request and returns its whole answer, which has at most `limit` bytes of body.
     ///
     /// # Errors
@@ -108,7 +116,7 @@
                 return Ok((sender, true));
             }
         }
-        Ok((connect(address).await?, false))
+        Ok((connect(address, self.traffic.clone()).await?, false))
     }
 
     async fn receive(
@@ -128,7 +136,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, Error> {
+async fn connect(address: SocketAddr, traffic: Traffic) -> Result<Sender, Error> {
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(err)) => return Err(Error::NotSent(err.to_string())),
@@ -138,7 +146,7 @@
     nodelay.map_err(|err| Error::NotSent(err.to_string()))?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(Counted::new(stream, traffic)))
         .await
         .map_err(|err| Error::NotSent(err.to_string()))?;
     tokio::spawn(async move {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod settings;
 pub mod stop;
 pub mod telemetry;
+pub mod traffic;
 pub mod upstream;
 
 pub use self::run::run;
--- a/crates/daemon/src/listen/accept.rs
+++ b/crates/daemon/src/listen/accept.rs
@@ -31,6 +31,7 @@
 use super::refusal::MAX_REFUSALS;
 use super::refusal::REFUSAL_TIME;
 use super::refusal::Refuse;
+use crate::traffic::Counted;
 
 /// Connections that the kernel holds until they are accepted; it limits this to `somaxconn`, 4096
 /// by default.
@@ -143,6 +144,7 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY for {}: {error}", context.remote);
         }
+        let stream = Counted::new(stream, self.counters.traffic.clone());
         let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else {
             self.refuse(stream, context);
             return;
@@ -168,7 +170,7 @@
         });
     }
 
-    fn refuse(&self, stream: TcpStream, context: Context) {
+    fn refuse(&self, stream: Counted<TcpStream>, context: Context) {
         self.counters.refused.inc();
         let Ok(place) = Arc::clone(&self.refusals).try_acquire_owned() else {
             return;
--- a/crates/daemon/src/listen/counters.rs
+++ b/crates/daemon/src/listen/counters.rs
@@ -3,6 +3,8 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 
+use crate::traffic::Traffic;
+
 /// Counters of a listener. Clones share the values.
 #[derive(Debug, Clone, Default)]
 pub struct Counters {
@@ -19,6 +21,8 @@
     pub expired: Counter,
     /// Failed attempts to accept a connection.
     pub failed: Counter,
+    /// Bytes of all its connections.
+    pub traffic: Traffic,
 }
 
 /// Counts a connection as open until it is dropped.
--- a/crates/daemon/src/listen/drive.rs
+++ b/crates/daemon/src/listen/drive.rs
@@ -30,6 +30,7 @@
 use super::progress::Phase;
 use super::progress::Progress;
 use super::progress::Watched;
+use crate::traffic::Counted;
 
 /// How long an idle connection stays open after a stop begins. A request that its caller sent
 /// before it could see the stop arrives within the one-way latency to callers, about 10 ms.
@@ -46,12 +47,12 @@
     Expired,
 }
 
-type Connection<S> = http1::Connection<TokioIo<Watched<TcpStream>>, S>;
+type Connection<S> = http1::Connection<TokioIo<Watched<Counted<TcpStream>>>, S>;
 
 /// Serves `stream` until either side closes it, a limit is reached, or `stop` is cancelled and the
 /// current exchange has ended.
 pub(super) async fn drive<S>(
-    stream: TcpStream,
+    stream: Counted<TcpStream>,
     context: Context,
     service: &S,
     limits: &Limits,
--- a/crates/daemon/src/metrics/entry.rs
+++ b/crates/daemon/src/metrics/entry.rs
@@ -27,6 +27,8 @@
     pub buffered: Gauge,
     /// Good reads from the platform.
     pub platform_reads: Counter,
+    /// Bytes of the values read from the platform; on the wire they are in base64.
+    pub platform_bytes: Counter,
     /// Failed reads from the platform.
     pub platform_failures: Counter,
 }
@@ -59,6 +61,11 @@
             "Good reads from the platform",
             e.platform_reads.clone(),
         );
+        registry.register(
+            "platform_value_bytes",
+            "Bytes of the values read from the platform",
+            e.platform_bytes.clone(),
+        );
         registry.register(
             "platform_failures",
             "Failed reads from the platform",
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -24,6 +24,7 @@
 use self::labels::EndLabels;
 use self::labels::ServiceLabels;
 use crate::listen::Counters;
+use crate::traffic::Traffic;
 use jackdawpin_core::name;
 
 pub use self::entry::Entry;
@@ -55,6 +56,10 @@
     pub callers: Counters,
     /// Counters of the listener for peers and operators.
     pub control: Counters,
+    /// Bytes of the connections to servers.
+    pub servers: Traffic,
+    /// Bytes of the connections to other entries.
+    pub peers: Traffic,
 }
 
 /// The families with the label `service`.
@@ -133,7 +138,9 @@
         let entry = Entry::new(&mut registry);
         let callers = listener(&mut registry, "callers");
         let control = listener(&mut registry, "control");
-        Self { registry, families, entry, callers, control }
+        let servers = client(&mut registry, "servers");
+        let peers = client(&mut registry, "peers");
+        Self { registry, families, entry, callers, control, servers, peers }
     }
 
     /// The metrics of `service`, which must be a service of the configuration. The caller keeps the
@@ -177,5 +184,18 @@
     registry.register("connections_invalid", "Connections closed for bad bytes", c.invalid.clone());
     registry.register("connections_expired", "Connections closed at a limit", c.expired.clone());
     registry.register("accepts_failed", "Failed attempts to accept", c.failed.clone());
+    let t = &c.traffic;
+    registry.register("received_bytes", "Bytes received on connections", t.received.clone());
+    registry.register("sent_bytes", "Bytes sent on connections", t.sent.clone());
     counters
 }
+
+/// Registers the counters of a pool of connections under the label `client`.
+fn client(registry: &mut Registry, name: &'static str) -> Traffic {
+    let traffic = Traffic::default();
+    let registry = registry.sub_registry_with_label(("client".into(), name.into()));
+    let t = &traffic;
+    registry.register("client_received_bytes", "Bytes received by a client", t.received.clone());
+    registry.register("client_sent_bytes", "Bytes sent by a client", t.sent.clone());
+    traffic
+}
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -106,7 +106,9 @@
 
 impl Daemon {
     fn new(settings: Settings) -> Self {
-        let ports = Arc::new(Adapters::default());
+        let telemetry = Arc::new(Telemetry::default());
+        let metrics = telemetry.metrics();
+        let ports = Arc::new(Adapters::new(metrics.servers.clone(), metrics.peers.clone()));
         let identity = Identity {
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
@@ -117,8 +119,7 @@
             incarnation: clock::Boot.wall_millis(),
         };
         let tables = Arc::new(Tables::new(settings.vm.clone(), clock::Boot.now()));
-        let telemetry = Arc::new(Telemetry::default());
-        let buffered = telemetry.metrics().entry.buffered.clone();
+        let buffered = metrics.entry.buffered.clone();
         let budget = Budget::new(settings.max_buffered_bytes, buffered);
         let seeds = settings.seeds.clone();
         Self {
@@ -142,7 +143,7 @@
     }
 
     fn spawn_watch(&self, fetch: Http, key: Key, name: String) {
-        let sink = Sink::new(self.control.clone());
+        let sink = Sink::new(self.control.clone(), self.telemetry.metrics().entry.clone());
         let cancel = self.cancel.clone();
         tokio::spawn(async move {
             let (clock, random) = (&clock::Boot, &clock::Random);
--- a/crates/daemon/src/run/sink.rs
+++ b/crates/daemon/src/run/sink.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use crate::metrics::Entry;
 use crate::platform;
 use crate::platform::Error;
 use crate::platform::Key;
@@ -11,20 +12,24 @@
 /// Hands what the platform answers to the decisions.
 pub(super) struct Sink<O> {
     control: Arc<Control<O>>,
+    metrics: Entry,
 }
 
 impl<O: Ports> Sink<O> {
-    pub(super) fn new(control: Arc<Control<O>>) -> Self {
-        Self { control }
+    pub(super) fn new(control: Arc<Control<O>>, metrics: Entry) -> Self {
+        Self { control, metrics }
     }
 }
 
 impl<O: Ports> platform::Sink for Sink<O> {
     fn read(&self, key: Key, value: &[u8], asked: Instant) {
+        self.metrics.platform_reads.inc();
+        self.metrics.platform_bytes.inc_by(value.len() as u64);
         self.control.platform_read(kind(key), value, asked);
     }
 
     fn failed(&self, key: Key, error: &Error, asked: Instant) {
+        self.metrics.platform_failures.inc();
         log::debug!("read of {key} from the platform failed: {error}");
         if matches!(error, Error::Absent) {
             self.control.platform_missing(kind(key), asked);
--- a/crates/testkit/src/caller/record.rs
+++ b/crates/testkit/src/caller/record.rs
@@ -18,6 +18,8 @@
     pub at: Duration,
     /// Time from then to the end.
     pub latency: Duration,
+    /// The part of it before the request was sent: the load tool's own timer and its limit of requests in flight.
+    pub late: Duration,
     /// What is known about it.
     pub class: Class,
     /// Why, if it was not simply answered.
--- a/crates/testkit/src/caller/run.rs
+++ b/crates/testkit/src/caller/run.rs
@@ -225,6 +225,7 @@
 
 impl Shared {
     async fn send(&self, call: Call, intended: Instant) {
+        let late = intended.elapsed();
         let target = usize::try_from(call.number % self.routes.len() as u64).unwrap_or(0);
         let route = &self.routes[target];
         let mut tried = Vec::new();
@@ -247,6 +248,7 @@
             target,
             at: intended.saturating_duration_since(self.start),
             latency: intended.elapsed(),
+            late,
             class: verdict.class,
             reason: verdict.reason,
             status: verdict.status,
--- a/crates/testkit/src/fleet/run.rs
+++ b/crates/testkit/src/fleet/run.rs
@@ -158,6 +158,15 @@
         }
     }
 
+    /// The id of a VM's process, or of the platform's.
+    ///
+    /// # Errors
+    ///
+    /// The process is not running.
+    pub fn process_id(&mut self, name: &str) -> Result<u32, Error> {
+        Ok(self.process(name)?.id())
+    }
+
     /// Sends a signal to a VM's process, or to the platform's.
     ///
     /// # Errors
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod fleet;
 pub mod http;
+pub mod measure;
 pub mod platform;
 pub mod server;
 pub mod style;
--- a/crates/testkit/src/server/adapter.rs
+++ b/crates/testkit/src/server/adapter.rs
@@ -293,6 +293,8 @@
         loop {
             match self.phase() {
                 Phase::Waiting => self.notify.notified().await,
+                // The timer's granularity is 1 ms, so work without a time must not use it.
+                Phase::Running(time) if time.is_zero() => return Ok(()),
                 Phase::Running(time) => tokio::select! {
                     () = tokio::time::sleep(time) => return Ok(()),
                     () = self.notify.notified() => {}
--- a/crates/testkit/tests/caller.rs
+++ b/crates/testkit/tests/caller.rs
@@ -110,6 +110,7 @@
         target: 0,
         at: Duration::ZERO,
         latency: Duration::from_millis(1),
+        late: Duration::ZERO,
         class,
         reason: String::new(),
         status: 200,
