--- a/crates/core/src/config/build.rs
+++ b/crates/core/src/config/build.rs
@@ -4,7 +4,6 @@
 
 use quick_error::quick_error;
 
-use crate::name;
 use super::Config;
 use super::Exception;
 use super::FIELDS;
@@ -14,6 +13,7 @@
 use super::Scope;
 use super::Service;
 use super::field;
+use crate::name;
 
 quick_error! {
     /// Why a configuration is not valid.
--- a/crates/core/src/config/unknown.rs
+++ b/crates/core/src/config/unknown.rs
@@ -1,11 +1,11 @@
 use std::collections::BTreeSet;
 use std::fmt;
 
+use super::Config;
+use super::Scope;
 use crate::member::List;
 use crate::member::Role;
 use crate::name;
-use super::Config;
-use super::Scope;
 
 /// A name in a configuration that a VM list does not have. The section that names it has no effect,
 /// which nothing else would tell: the platform may list the VMs later.
--- a/crates/core/src/control/claims.rs
+++ b/crates/core/src/control/claims.rs
@@ -2,6 +2,9 @@
 
 use futures_util::future::join_all;
 
+use super::Claim;
+use super::Control;
+use super::Grant;
 use crate::event::Event;
 use crate::flow::Route;
 use crate::intent::Intent;
@@ -13,9 +16,6 @@
 use crate::port::Ports;
 use crate::rank;
 use crate::time::Instant;
-use super::Claim;
-use super::Control;
-use super::Grant;
 
 /// Time between two looks at which claims are due.
 const INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/core/src/control/document.rs
+++ b/crates/core/src/control/document.rs
@@ -1,3 +1,5 @@
+use super::Control;
+use super::Kind;
 use crate::intent::Decision;
 use crate::intent::Order;
 use crate::intent::Source;
@@ -5,8 +7,6 @@
 use crate::port::Ports;
 use crate::port::Reader;
 use crate::time::Instant;
-use super::Control;
-use super::Kind;
 
 impl<O: Ports> Control<O> {
     /// Takes over what the platform answered to a read sent at `asked`.
--- a/crates/core/src/control/reconcile.rs
+++ b/crates/core/src/control/reconcile.rs
@@ -1,5 +1,8 @@
 use std::sync::Arc;
 
+use super::Control;
+use super::holding::Holding;
+use super::holding::holdings;
 use crate::event::Event;
 use crate::flow::Route;
 use crate::flow::Routes;
@@ -10,9 +13,6 @@
 use crate::port::Clock;
 use crate::port::Ports;
 use crate::time::Instant;
-use super::Control;
-use super::holding::Holding;
-use super::holding::holdings;
 
 /// What the current routes were derived from.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/core/src/control/tick.rs
+++ b/crates/core/src/control/tick.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
+use super::Control;
 use crate::intent::Evidence;
 use crate::port::Clock;
 use crate::port::Ports;
-use super::Control;
 
 /// Time between two ticks. Places that linger become free with a tick at the latest.
 const INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/core/src/flow/address.rs
+++ b/crates/core/src/flow/address.rs
@@ -1,10 +1,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::Router;
 use crate::outcome::Refusal;
 use crate::port::Clock;
 use crate::port::Ports;
-use super::Router;
 
 /// An address that callers may use, with its share of the requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/core/src/flow/attempt.rs
+++ b/crates/core/src/flow/attempt.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use super::Route;
+use super::Router;
 use crate::outcome::Doubt;
 use crate::outcome::Evidence;
 use crate::outcome::NotRun;
@@ -15,8 +17,6 @@
 use crate::port::Upstream;
 use crate::request::Attempt;
 use crate::time::Instant;
-use super::Route;
-use super::Router;
 
 /// First status code that says that the server failed.
 const SERVER_ERROR: u16 = 500;
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/flow/place.rs
@@ -1,5 +1,8 @@
 use std::time::Duration;
 
+use super::Route;
+use super::Router;
+use super::Trace;
 use crate::name;
 use crate::outcome::Refusal;
 use crate::pool::Lead;
@@ -8,9 +11,6 @@
 use crate::port::Ports;
 use crate::request::Request;
 use crate::time::Instant;
-use super::Route;
-use super::Router;
-use super::Trace;
 
 /// Forwards that peers may refuse for lack of room before the request only waits for a notice.
 const MAX_MISSES: u32 = 2;
--- a/crates/core/src/flow/retry.rs
+++ b/crates/core/src/flow/retry.rs
@@ -1,5 +1,8 @@
 use std::time::Duration;
 
+use super::Route;
+use super::Router;
+use super::Trace;
 use crate::outcome::Answer;
 use crate::outcome::Doubt;
 use crate::outcome::Evidence;
@@ -12,9 +15,6 @@
 use crate::request::Attempt;
 use crate::request::Request;
 use crate::time::Instant;
-use super::Route;
-use super::Router;
-use super::Trace;
 
 /// Patience with an idempotent request that a peer dispatches, whose latency is not known here.
 const REMOTE_PATIENCE: Duration = Duration::from_millis(500);
--- a/crates/core/src/flow/scout.rs
+++ b/crates/core/src/flow/scout.rs
@@ -2,6 +2,7 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::Router;
 use crate::name;
 use crate::pool::Lead;
 use crate::pool::Pool;
@@ -10,7 +11,6 @@
 use crate::port::Ports;
 use crate::port::Random;
 use crate::time::Instant;
-use super::Router;
 
 /// Scouts per service, and so the number of peers asked for a vacancy at once. Each one asks its own
 /// share of the peers, so that all holders of a small service are asked.
--- a/crates/core/src/intent/table.rs
+++ b/crates/core/src/intent/table.rs
@@ -2,13 +2,6 @@
 
 use smallvec::SmallVec;
 
-use crate::config::Config;
-use crate::event::Event;
-use crate::lock::Mutex;
-use crate::lock::Rank;
-use crate::member::List;
-use crate::port::Journal;
-use crate::time::Instant;
 use super::Accepted;
 use super::Decision;
 use super::Order;
@@ -18,6 +11,13 @@
 use super::slot::MAX_REFUSED;
 use super::slot::Offer;
 use super::slot::Slot;
+use crate::config::Config;
+use crate::event::Event;
+use crate::lock::Mutex;
+use crate::lock::Rank;
+use crate::member::List;
+use crate::port::Journal;
+use crate::time::Instant;
 
 /// The configuration and the VM list in force together, as one consistent value for a request.
 #[derive(Debug, Clone)]
--- a/crates/core/src/lease/claims.rs
+++ b/crates/core/src/lease/claims.rs
@@ -3,16 +3,16 @@
 
 use smallvec::SmallVec;
 
-use crate::member;
-use crate::name;
-use crate::rank;
-use crate::time::Instant;
 use super::Batch;
 use super::HOLD;
 use super::LIFETIME;
 use super::RENEWAL;
 use super::Target;
 use super::batch::Batches;
+use crate::member;
+use crate::name;
+use crate::rank;
+use crate::time::Instant;
 
 /// Time without a lease after which a claim pauses. It lets the promises to a failed holder expire
 /// and one more round pass.
--- a/crates/core/src/lease/table.rs
+++ b/crates/core/src/lease/table.rs
@@ -1,11 +1,11 @@
-use crate::member;
-use crate::name;
-use crate::time::Instant;
 use super::Batch;
 use super::Claimant;
 use super::Claims;
 use super::Promises;
 use super::Target;
+use crate::member;
+use crate::name;
+use crate::time::Instant;
 
 /// Both sides of an entry's leases: its promises as a witness and its claims as a holder.
 ///
--- a/crates/core/src/member/peers/peer.rs
+++ b/crates/core/src/member/peers/peer.rs
@@ -1,11 +1,11 @@
 use std::time::Duration;
 
+use super::Heartbeat;
 use crate::event::Event;
 use crate::intent::Order;
 use crate::member::State;
 use crate::name;
 use crate::time::Instant;
-use super::Heartbeat;
 
 /// An entry that was not heard for this long is silent: three heartbeats, so that one lost message
 /// does not move the servers that it holds.
--- a/crates/core/src/member/peers/view.rs
+++ b/crates/core/src/member/peers/view.rs
@@ -2,14 +2,14 @@
 
 use smallvec::SmallVec;
 
-use crate::intent::Order;
-use crate::member::State as Listing;
-use crate::name;
-use crate::time::Instant;
 use super::Heartbeat;
 use super::Known;
 use super::Peers;
 use super::SILENT_AFTER;
+use crate::intent::Order;
+use crate::member::State as Listing;
+use crate::name;
+use crate::time::Instant;
 
 /// A peer with free places for a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/core/src/pool/limit.rs
+++ b/crates/core/src/pool/limit.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use crate::time::Instant;
 use super::report::Report;
+use crate::time::Instant;
 
 /// An answer slower than this is needed before a slow answer counts as abnormal. Below it, a
 /// multiple of a latency of a few milliseconds is ordinary queueing.
--- a/crates/core/src/rank/table.rs
+++ b/crates/core/src/rank/table.rs
@@ -4,12 +4,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::MAX_WITNESSES;
+use super::Witnesses;
 use crate::member::List;
 use crate::member::Role;
 use crate::member::Vm;
 use crate::name;
-use super::MAX_WITNESSES;
-use super::Witnesses;
 
 /// How close an entry is to a server, closest first. It is compared before the score is computed,
 /// which spares most of the hashing.
--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -5,7 +5,6 @@
 use crate::clock::Boot;
 use crate::clock::Random;
 use crate::exchange::Client;
-use crate::listen::Budget;
 use crate::peer::Peer;
 use crate::reader::Reader;
 use crate::upstream::Upstream;
@@ -22,15 +21,14 @@
 }
 
 impl Adapters {
-    /// Creates the adapters. The bodies of answers count against `budget`; messages to peers go
-    /// through `control`.
-    pub fn new(budget: Budget, control: Arc<Client>) -> Self {
-        let client = Arc::new(Client::new(budget));
+    /// Creates the adapters, which use `servers` for attempts at servers, `forwards` for attempts at
+    /// other entries, and `control` for all other messages to them.
+    pub fn new(servers: Client, forwards: Client, control: Client) -> Self {
         Self {
             clock: Boot,
             random: Random,
-            upstream: Upstream::new(client.clone(), Boot),
-            peer: Peer::new(client, control, Boot),
+            upstream: Upstream::new(Arc::new(servers), Boot),
+            peer: Peer::new(Arc::new(forwards), Arc::new(control), Boot),
             reader: Reader,
         }
     }
--- a/crates/daemon/src/control/admin.rs
+++ b/crates/daemon/src/control/admin.rs
@@ -2,6 +2,8 @@
 
 use http::Uri;
 
+use super::Error;
+use super::Listener;
 use crate::peer::convert;
 use crate::query;
 use jackdawpin_core::config::Origin;
@@ -21,8 +23,6 @@
 use jackdawpin_core::rank;
 use jackdawpin_core::time::Instant;
 use jackdawpin_wire as wire;
-use super::Error;
-use super::Listener;
 
 /// Events on a page of the time line.
 const PAGE: usize = 256;
--- a/crates/daemon/src/control/mesh.rs
+++ b/crates/daemon/src/control/mesh.rs
@@ -4,6 +4,9 @@
 use http_body_util::Full;
 use volo_http::response::Response;
 
+use super::Error;
+use super::Listener;
+use super::message;
 use crate::peer::convert;
 use crate::peer::forward;
 use jackdawpin_core::control::Claim;
@@ -16,9 +19,6 @@
 use jackdawpin_core::request::Id;
 use jackdawpin_core::request::Request;
 use jackdawpin_wire as wire;
-use super::Error;
-use super::Listener;
-use super::message;
 
 /// Longest wait for a vacancy that a peer may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -25,10 +25,12 @@
 use prometheus_client::metrics::gauge::Gauge;
 use tokio::net::TcpStream;
 
-use crate::listen::Budget;
-use crate::listen::body;
 use self::idle::Idle;
 use self::idle::Sender;
+use crate::listen::Budget;
+use crate::listen::body;
+use crate::traffic::Counted;
+use crate::traffic::Traffic;
 
 pub use self::error::Error;
 
@@ -53,22 +55,24 @@
 pub struct Client {
     idle: Idle,
     budget: Budget,
+    traffic: Traffic,
 }
 
 /// Bytes of bodies that a client of its own may hold at once.
 const DEFAULT_BYTES: usize = 64 << 20;
 
 impl Default for Client {
-    /// Creates a client with a budget of its own, of 64 MiB.
+    /// Creates a client with a budget of its own, of 64 MiB, and counters that nobody reads.
     fn default() -> Self {
-        Self::new(Budget::new(DEFAULT_BYTES, Gauge::default()))
+        Self::new(Budget::new(DEFAULT_BYTES, Gauge::default()), Traffic::default())
     }
 }
 
 impl Client {
-    /// Creates a client without connections. The bodies of answers count against `budget`.
-    pub fn new(budget: Budget) -> Self {
-        Self { idle: Idle::default(), budget }
+    /// Creates a client without connections. The bodies of answers count against `budget`, the bytes
+    /// of its connections are counted in `traffic`.
+    pub fn new(budget: Budget, traffic: Traffic) -> Self {
+        Self { idle: Idle::default(), budget, traffic }
     }
 
     /// Sends a request and returns its whole answer, which has at most `limit` bytes of body.
@@ -126,7 +130,7 @@
                 return Ok((sender, true));
             }
         }
-        Ok((connect(address).await?, false))
+        Ok((connect(address, self.traffic.clone()).await?, false))
     }
 
     async fn receive(
@@ -148,7 +152,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, Error> {
+async fn connect(address: SocketAddr, traffic: Traffic) -> Result<Sender, Error> {
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(err)) => return Err(Error::NotSent(err.to_string())),
@@ -158,7 +162,7 @@
     nodelay.map_err(|err| Error::NotSent(err.to_string()))?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(Counted::new(stream, traffic)))
         .await
         .map_err(|err| Error::NotSent(err.to_string()))?;
     tokio::spawn(async move {
--- a/crates/daemon/src/front/response.rs
+++ b/crates/daemon/src/front/response.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use volo_http::response::Response;
 
+use super::call::status;
 use crate::headers;
 use crate::listen::body;
 use jackdawpin_core::flow::Addresses;
@@ -15,7 +16,6 @@
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::outcome::Refusal;
 use jackdawpin_core::request::Id;
-use super::call::status;
 
 const ANSWERED: &str = "answered";
 const REFUSED: &str = "refused";
--- a/crates/daemon/src/logs/writer.rs
+++ b/crates/daemon/src/logs/writer.rs
@@ -1,7 +1,7 @@
 //! The thread that writes lines.
 
-use std::io::Write;
 use std::io;
+use std::io::Write;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,8 +1,8 @@
 //! Reads the settings, starts the log and runs the daemon.
 
 use std::fmt::Display;
-use std::io::Write;
 use std::io;
+use std::io::Write;
 use std::process::ExitCode;
 
 use jackdawpin_daemon::logs;
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -1,7 +1,7 @@
 //! Label sets. They own shared names and copies only, so that a lookup does not allocate.
 
-use std::fmt::Write;
 use std::fmt;
+use std::fmt::Write;
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::EncodeLabelValue;
--- a/crates/daemon/src/metrics/service.rs
+++ b/crates/daemon/src/metrics/service.rs
@@ -7,11 +7,11 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 
-use jackdawpin_core::name;
 use super::Families;
 use super::labels::End;
 use super::labels::EndLabels;
 use super::labels::ServiceLabels;
+use jackdawpin_core::name;
 
 /// Metrics of one service. Clones share the values.
 #[derive(Debug, Clone)]
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -19,16 +19,16 @@
 use quick_error::quick_error;
 use serde::Serialize;
 
-use crate::exchange::Client;
 use crate::exchange;
+use crate::exchange::Client;
 use crate::upstream;
 use jackdawpin_core::name;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
 use jackdawpin_core::outcome::NotRun;
+use jackdawpin_core::port;
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Forwarded;
-use jackdawpin_core::port;
 use jackdawpin_core::request::Attempt;
 use jackdawpin_core::time::Instant;
 use jackdawpin_wire as wire;
--- a/crates/daemon/src/platform/error.rs
+++ b/crates/daemon/src/platform/error.rs
@@ -4,9 +4,9 @@
 
 use quick_error::quick_error;
 
-use crate::exchange;
 use super::MAX_VALUE_BYTES;
 use super::http::LIMIT;
+use crate::exchange;
 
 quick_error! {
     /// Why a read failed.
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -10,12 +10,12 @@
 use http::header::HOST;
 use http_body_util::Full;
 
-use crate::exchange::Client;
 use super::Answer;
 use super::Error;
 use super::Fetch;
-use super::answer::MAX_BODY_BYTES;
 use super::answer;
+use super::answer::MAX_BODY_BYTES;
+use crate::exchange::Client;
 
 /// How long the platform holds a read while the key does not change. An entry refuses new work when
 /// it has heard neither the platform nor its peers for 5 s, so a wait must be well below that. The
--- a/crates/daemon/src/platform/watch.rs
+++ b/crates/daemon/src/platform/watch.rs
@@ -4,9 +4,6 @@
 
 use tokio_util::sync::CancellationToken;
 
-use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Random;
-use jackdawpin_core::time::Instant;
 use super::Answer;
 use super::Backoff;
 use super::Error;
@@ -14,6 +11,9 @@
 use super::Key;
 use super::Sink;
 use super::http::LIMIT;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Random;
+use jackdawpin_core::time::Instant;
 
 /// Shortest time between the starts of two reads. A platform that does not hold reads, or a key
 /// that changes all the time, would otherwise be read in a tight loop.
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -13,27 +13,28 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use self::error::Error;
+use self::sink::Sink;
 use crate::adapters::Adapters;
 use crate::clock;
 use crate::control::Listener;
 use crate::exchange::Client;
 use crate::front::Front;
-use crate::listen::Budget;
 use crate::listen;
+use crate::listen::Budget;
+use crate::platform;
 use crate::platform::Http;
 use crate::platform::Key;
 use crate::platform::Watch;
-use crate::platform;
 use crate::settings::Settings;
 use crate::stop::Signals;
 use crate::telemetry::Telemetry;
+use crate::traffic::Traffic;
 use jackdawpin_core::control::Control;
 use jackdawpin_core::control::Identity;
 use jackdawpin_core::flow::Router;
 use jackdawpin_core::flow::Tables;
 use jackdawpin_core::port::Clock;
-use self::error::Error;
-use self::sink::Sink;
 
 /// How long a planned stop waits beyond the life of an address answer: a request that a caller sends
 /// at its end is under way for a one-way latency of about 10 ms, and callers' timers are not exact.
@@ -51,8 +52,8 @@
     telemetry: Arc<Telemetry>,
     budget: Budget,
     control_budget: Budget,
-    /// Connections to the platform and for messages to peers.
-    client: Arc<Client>,
+    /// Connections to the platform.
+    platform: Arc<Client>,
     /// Ends the tasks that serve no request.
     cancel: CancellationToken,
 }
@@ -114,6 +115,8 @@
 
 impl Daemon {
     fn new(settings: Settings) -> Self {
+        let telemetry = Arc::new(Telemetry::default());
+        let metrics = telemetry.metrics();
         let identity = Identity {
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
@@ -124,13 +127,16 @@
             incarnation: clock::Boot.wall_millis(),
         };
         let tables = Arc::new(Tables::new(settings.vm.clone(), clock::Boot.now()));
-        let telemetry = Arc::new(Telemetry::default());
-        let buffered = telemetry.metrics().entry.buffered.clone();
+        let buffered = metrics.entry.buffered.clone();
         let budget = Budget::new(settings.max_buffered_bytes, buffered);
         // Messages of peers and documents must get through when callers have used up the budget.
         let control_budget = Budget::new(CONTROL_BYTES, Gauge::default());
-        let client = Arc::new(Client::new(control_budget.clone()));
-        let ports = Arc::new(Adapters::new(budget.clone(), client.clone()));
+        let ports = Arc::new(Adapters::new(
+            Client::new(budget.clone(), metrics.servers.clone()),
+            Client::new(budget.clone(), metrics.peers.clone()),
+            Client::new(control_budget.clone(), metrics.peers.clone()),
+        ));
+        let platform = Client::new(control_budget.clone(), Traffic::default());
         let seeds = settings.seeds.clone();
         Self {
             router: Arc::new(Router::new(tables.clone(), ports.clone())),
@@ -138,7 +144,7 @@
             telemetry,
             budget,
             control_budget,
-            client,
+            platform: Arc::new(platform),
             cancel: CancellationToken::new(),
             settings,
         }
@@ -149,14 +155,14 @@
         tokio::spawn(async move { control.run(&cancel).await });
         let (router, cancel) = (self.router.clone(), self.cancel.clone());
         tokio::spawn(async move { scouts::run(router, cancel).await });
-        let platform = Http::new(self.client.clone(), self.settings.platform);
+        let platform = Http::new(self.platform.clone(), self.settings.platform);
         let keys = &self.settings.keys;
         self.spawn_watch(platform.clone(), Key::Config, keys.config.clone());
         self.spawn_watch(platform, Key::Vms, keys.vms.clone());
     }
 
     fn spawn_watch(&self, fetch: Http, key: Key, name: String) {
-        let sink = Sink::new(self.control.clone(), &self.telemetry.metrics().entry);
+        let sink = Sink::new(self.control.clone(), self.telemetry.metrics().entry.clone());
         let cancel = self.cancel.clone();
         tokio::spawn(async move {
             let (clock, random) = (&clock::Boot, &clock::Random);
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -6,8 +6,6 @@
 
 use log::LevelFilter;
 
-use crate::listen::Limits;
-use jackdawpin_core::name;
 use super::Format;
 use super::Keys;
 use super::Log;
@@ -15,10 +13,12 @@
 use super::problem::Problem;
 use super::problem::Problems;
 use super::raw::Raw;
-use super::rule::Rule;
 use super::rule;
-use super::table::Setting;
+use super::rule::Rule;
 use super::table;
+use super::table::Setting;
+use crate::listen::Limits;
+use jackdawpin_core::name;
 
 impl TryFrom<Raw> for Settings {
     type Error = Problems;
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use self::window::Window;
 use crate::metrics::End;
 use crate::metrics::Metrics;
 use crate::metrics::Service;
@@ -18,7 +19,6 @@
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::outcome::Refusal;
 use jackdawpin_core::time::Instant;
-use self::window::Window;
 
 /// Metrics with a recent window of latencies per service.
 #[derive(Debug)]
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -23,9 +23,9 @@
 use jackdawpin_core::outcome::Evidence;
 use jackdawpin_core::outcome::NotRun;
 use jackdawpin_core::pool::Report;
+use jackdawpin_core::port;
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Reply;
-use jackdawpin_core::port;
 use jackdawpin_core::request::Attempt;
 
 /// Largest answer to a probe in bytes.
--- a/crates/daemon/tests/clock.rs
+++ b/crates/daemon/tests/clock.rs
@@ -4,8 +4,8 @@
 
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Random;
-use jackdawpin_daemon::clock::Boot;
 use jackdawpin_daemon::clock;
+use jackdawpin_daemon::clock::Boot;
 
 /// Guards against a wait that ends early, also at the end of a step (250 ms), and against a wait for
 /// a time that has passed.
--- a/crates/daemon/tests/listen.rs
+++ b/crates/daemon/tests/listen.rs
@@ -25,11 +25,11 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use jackdawpin_daemon::listen;
 use jackdawpin_daemon::listen::Budget;
 use jackdawpin_daemon::listen::Context;
 use jackdawpin_daemon::listen::Counters;
 use jackdawpin_daemon::listen::Limits;
-use jackdawpin_daemon::listen;
 
 const MAX_BODY: usize = 16 * 1024;
 const BUDGET: usize = 20 * 1024;
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -3,8 +3,8 @@
 // clippy.toml allows it in test functions only, not in their helpers.
 #![allow(clippy::unwrap_used)]
 
-use std::io::Write;
 use std::io;
+use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::mpsc::Receiver;
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -32,10 +32,11 @@
 use jackdawpin_core::port::Random;
 use jackdawpin_core::time::Instant;
 use jackdawpin_daemon::clock;
+use jackdawpin_daemon::listen;
 use jackdawpin_daemon::listen::Context;
 use jackdawpin_daemon::listen::Counters;
 use jackdawpin_daemon::listen::Limits;
-use jackdawpin_daemon::listen;
+use jackdawpin_daemon::platform;
 use jackdawpin_daemon::platform::Answer;
 use jackdawpin_daemon::platform::Backoff;
 use jackdawpin_daemon::platform::Error;
@@ -45,7 +46,6 @@
 use jackdawpin_daemon::platform::MAX_VALUE_BYTES;
 use jackdawpin_daemon::platform::Sink;
 use jackdawpin_daemon::platform::Watch;
-use jackdawpin_daemon::platform;
 
 const NAME: &str = "jackdawpin/config";
 const LIMITS: Limits = Limits {
--- a/crates/document/src/config/section.rs
+++ b/crates/document/src/config/section.rs
@@ -1,3 +1,5 @@
+use super::table::Item;
+use super::table::Table;
 use crate::fault::Log;
 use jackdawpin_core::config::Builder;
 use jackdawpin_core::config::Config;
@@ -11,8 +13,6 @@
 use jackdawpin_core::config::Reason;
 use jackdawpin_core::config::Scope;
 use jackdawpin_core::name;
-use super::table::Item;
-use super::table::Table;
 
 const ROOT_FIELDS: &[&str] = &["revision", "defaults", "service", "exception", "out"];
 const SERVICE_FIELDS: &[&str] = &["name", "idempotent_paths"];
--- a/crates/document/src/vms/mod.rs
+++ b/crates/document/src/vms/mod.rs
@@ -10,6 +10,8 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use self::json::Item;
+use self::json::Object;
 use crate::Faults;
 use crate::fault::Log;
 use jackdawpin_core::member::Error;
@@ -18,8 +20,6 @@
 use jackdawpin_core::member::State;
 use jackdawpin_core::member::Vm;
 use jackdawpin_core::name;
-use self::json::Item;
-use self::json::Object;
 
 /// Reads a VM list.
 ///
--- a/crates/testkit/src/caller/audit.rs
+++ b/crates/testkit/src/caller/audit.rs
@@ -6,13 +6,13 @@
 use quick_error::quick_error;
 use serde::Serialize;
 
+use super::Class;
+use super::Record;
 use crate::http::Error as ExchangeError;
 use crate::http::fetch;
 use crate::server::Counts;
 use crate::server::Entry;
 use crate::server::Ledger;
-use super::Class;
-use super::Record;
 
 /// Time for a server to send its ledger.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/testkit/src/caller/run.rs
+++ b/crates/testkit/src/caller/run.rs
@@ -14,12 +14,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::http::Error as ExchangeError;
-use crate::http::Pool;
-use crate::http::REQUEST_ID;
-use crate::http::TIMEOUT;
-use crate::http::Whole;
-use crate::http::fetch;
 use super::Addresses;
 use super::Call;
 use super::Options;
@@ -27,6 +21,12 @@
 use super::Plan;
 use super::Record;
 use super::classify;
+use crate::http::Error as ExchangeError;
+use crate::http::Pool;
+use crate::http::REQUEST_ID;
+use crate::http::TIMEOUT;
+use crate::http::Whole;
+use crate::http::fetch;
 
 /// Addresses that a request tries to connect to before it gives up.
 const MAX_CONNECTS: usize = 3;
@@ -225,6 +225,7 @@
 
 impl Shared {
     async fn send(&self, call: Call, intended: Instant) {
+        let late = intended.elapsed();
         let target = usize::try_from(call.number % self.routes.len() as u64).unwrap_or(0);
         let route = &self.routes[target];
         let mut tried = Vec::new();
@@ -247,6 +248,7 @@
             target,
             at: intended.saturating_duration_since(self.start),
             latency: intended.elapsed(),
+            late,
             class: verdict.class,
             reason: verdict.reason,
             status: verdict.status,
--- a/crates/testkit/src/fleet/run.rs
+++ b/crates/testkit/src/fleet/run.rs
@@ -13,10 +13,6 @@
 use quick_error::ResultExt;
 use rustix::process::Signal;
 
-use crate::caller::ServerLedger;
-use crate::http::Whole;
-use crate::http::fetch;
-use crate::server::Journal;
 use super::CONTROL_PORT;
 use super::Documents;
 use super::Error;
@@ -30,6 +26,10 @@
 use super::State;
 use super::Vm;
 use super::launch;
+use crate::caller::ServerLedger;
+use crate::http::Whole;
+use crate::http::fetch;
+use crate::server::Journal;
 
 /// Name of the only region.
 const REGION: &str = "r1";
@@ -158,6 +158,15 @@
         }
     }
 
+    /// The id of a VM's process, or of the platform's.
+    ///
+    /// # Errors
+    ///
+    /// The process is not running.
+    pub fn process_id(&mut self, name: &str) -> Result<u32, Error> {
+        Ok(self.process(name)?.id())
+    }
+
     /// Sends a signal to a VM's process, or to the platform's.
     ///
     /// # Errors
--- a/crates/testkit/src/server/adapter.rs
+++ b/crates/testkit/src/server/adapter.rs
@@ -15,13 +15,6 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::http::Body;
-use crate::http::Hangup;
-use crate::http::Limits;
-use crate::http::Running;
-use crate::http::Stats;
-use crate::http::json;
-use crate::http::serve;
 use super::Admission;
 use super::Arrival;
 use super::Counts;
@@ -32,9 +25,16 @@
 use super::Options;
 use super::Phase;
 use super::Ticket;
-use super::answer::Call;
 use super::answer;
+use super::answer::Call;
 use super::control;
+use crate::http::Body;
+use crate::http::Hangup;
+use crate::http::Limits;
+use crate::http::Running;
+use crate::http::Stats;
+use crate::http::json;
+use crate::http::serve;
 
 /// Time of a probe unless set otherwise.
 const PROBE_COST: Duration = Duration::from_millis(5);
@@ -293,6 +293,8 @@
         loop {
             match self.phase() {
                 Phase::Waiting => self.notify.notified().await,
+                // The timer's granularity is 1 ms, so work without a time must not use it.
+                Phase::Running(time) if time.is_zero() => return Ok(()),
                 Phase::Running(time) => tokio::select! {
                     () = tokio::time::sleep(time) => return Ok(()),
                     () = self.notify.notified() => {}
