--- /dev/null
+++ b/crates/daemon/tests/cold.rs
@@ -0,0 +1,100 @@
+//! Cold servers (invariant I2): they start, restart and turn cold while their holders are paused,
+//! killed and started again.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use fastrand::Rng;
+use tokio::time::sleep;
+
+use jackdawpin_testkit::fleet::Fleet;
+
+/// Entries: with five witnesses the quorums of lists that differ in two of them still intersect.
+const ENTRIES: usize = 5;
+const SERVERS: usize = 4;
+/// Servers that stay cold for long, so that faults meet cold ones.
+const SLOW_TO_WARM: &[&str] = &["--warm-requests=400", "--warm-ms=60000"];
+/// Longer than a lease and its margin (2.5 s), so that another entry may claim the server.
+const PAUSES_MS: std::ops::Range<u64> = 2_600..3_400;
+/// Longer than the time after which peers miss an entry's heartbeats (3 s).
+const DOWN: Duration = Duration::from_millis(3_200);
+
+fn pick(rng: &mut Rng, prefix: &str, count: usize) -> String {
+    format!("{prefix}{}", rng.usize(1..=count))
+}
+
+async fn restart(fleet: &mut Fleet, name: &str, pause: Duration) {
+    fleet.kill(name).unwrap();
+    sleep(pause).await;
+    fleet.start_vm(name).unwrap();
+}
+
+/// A server or an entry fails, chosen by `rng`.
+async fn step(fleet: &mut Fleet, rng: &mut Rng) -> String {
+    let server = pick(rng, "alerts-", SERVERS);
+    let entry = pick(rng, "e", ENTRIES);
+    restart(fleet, &server, Duration::from_millis(rng.u64(100..400))).await;
+    // The holder claims the new process after a moment, and fails in the middle of it.
+    sleep(Duration::from_millis(rng.u64(0..400))).await;
+    if rng.bool() {
+        fleet.pause(&entry).await.unwrap();
+        sleep(Duration::from_millis(rng.u64(PAUSES_MS))).await;
+        fleet.resume(&entry).unwrap();
+        format!("{server} restarted, {entry} paused")
+    } else {
+        restart(fleet, &entry, DOWN).await;
+        format!("{server} restarted, {entry} restarted")
+    }
+}
+
+/// Guards against a second request on a cold server because its holder was paused or killed, lost
+/// its lease, or did not notice that the server started again.
+#[rstest::rstest]
+#[case(11)]
+#[case(12)]
+#[case(13)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holders_fail_while_servers_are_cold(#[case] seed: u64) {
+    let mut rng = Rng::with_seed(seed);
+    let layout = common::layout(2, ENTRIES, &[("alerts", SERVERS, SLOW_TO_WARM)]);
+    let mut fleet = common::start(layout).await;
+    // More than cold servers can take, so that requests wait for each free place.
+    let load = common::load(&fleet, "alerts", 900.0, Duration::from_secs(11)).await;
+    sleep(Duration::from_millis(2_500)).await;
+    let end = Instant::now() + Duration::from_secs(4);
+    let mut steps = Vec::new();
+    while Instant::now() < end {
+        steps.push(step(&mut fleet, &mut rng).await);
+    }
+    let records = load.end().await;
+    let running = ["e1", "e2", "e3", "e4", "e5"];
+    let report = common::settle(&fleet, &records, &running).await;
+    assert!(report.answered > 0, "{report}");
+    assert_eq!(common::overruns(&fleet), 0, "seed {seed}: {steps:?}");
+}
+
+/// Guards against requests that go on arriving in number at a server that turned cold without a
+/// word: its limit falls to one at the first abnormal answer, so it falls over at most once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn turning_cold_without_warning() {
+    let layout = common::layout(2, 3, &[("alerts", SERVERS, &["--warm-requests=100"])]);
+    let fleet = common::start(layout).await;
+    let load = common::load(&fleet, "alerts", 600.0, Duration::from_secs(9)).await;
+    sleep(Duration::from_secs(5)).await;
+    let before = common::overruns(&fleet);
+    let turned = 2;
+    for number in 1..=turned {
+        fleet.command(&format!("alerts-{number}"), "/test/cold").await.unwrap();
+        sleep(Duration::from_millis(700)).await;
+    }
+    let records = load.end().await;
+    common::settle(&fleet, &records, &["e1", "e2", "e3"]).await;
+    let after = common::overruns(&fleet);
+    println!("{after} falls for {turned} servers that turned cold");
+    assert_eq!(before, 0, "servers fell over before they turned cold");
+    assert!(after <= turned, "{after} falls");
+}
