--- a/crates/daemon/tests/intent.rs
+++ b/crates/daemon/tests/intent.rs
@@ -82,7 +82,7 @@
 async fn put(fleet: &Fleet, text: &str) {
     let target = format!("/test/kv/{CONFIG_KEY}");
     let limit = Duration::from_secs(5);
-    fetch(fleet.platform(), "PUT", &target, text, limit).await.unwrap();
+    fetch(fleet.platform(), "PUT", &target, text.to_owned(), limit).await.unwrap();
 }
 
 /// Guards against a change that is missed because the platform started again with lower indexes,
