exchange: close a connection whose answer belongs to another request

Cause: a connection went back to the pool after any whole answer, also after one with the id or the attempt number of another request. The other end may be one answer out of step then, and each further request on the connection would end as unknown.

Ruled out: to check this in the upstream adapter alone; the connection is in the pool by then.

Before: the seven cases with wrong or missing ids in tests/exchange.rs run into the timeout of the second request, which is sent on the same connection.

Conclusion: the caller of an exchange says whether the answer belongs to it.

--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -53,7 +54,9 @@
 }
 
 impl Client {
-    /// Sends a request and returns its whole answer, which has at most `limit` bytes of body.
+    /// Sends a request and returns its whole answer, which has at most `limit` bytes of body. The
+    /// connection is used again only if `belongs` finds that the answer is one to this request:
+    /// otherwise the other end may be out of step.
     ///
     /// # Errors
     ///
@@ -64,9 +67,10 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
         limit: usize,
+        belongs: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, Error> {
         let mut progress = Progress::Unsent;
-        let exchange = self.run(address, request, limit, &mut progress);
+        let exchange = self.run(address, request, limit, belongs, &mut progress);
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
             Err(_) if progress == Progress::Unsent => Err(Error::NotSent("timed out".into())),
@@ -79,13 +83,17 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         limit: usize,
+        belongs: impl Fn(&HeaderMap) -> bool,
         progress: &mut Progress,
     ) -> Result<Response<Bytes>, Error> {
         loop {
             let (mut sender, reused) = self.connection(address).await?;
             *progress = Progress::Sent;
             match sender.try_send_request(request).await {
-                Ok(response) => return self.receive(address, sender, response, limit).await,
+                Ok(response) => {
+                    let kept = belongs(response.headers()).then_some(sender);
+                    return self.receive(address, kept, response, limit).await;
+                }
                 Err(mut failure) => {
                     // hyper hands the request back only if it has not begun to write it.
                     let Some(unsent) = failure.take_message() else {
@@ -114,7 +122,7 @@
     async fn receive(
         &self,
         address: SocketAddr,
-        sender: Sender,
+        sender: Option<Sender>,
         response: Response<Incoming>,
         limit: usize,
     ) -> Result<Response<Bytes>, Error> {
@@ -123,7 +131,9 @@
             Ok(body) => body.to_bytes(),
             Err(err) => return Err(Error::Answer(err.to_string())),
         };
-        self.idle.put(address, sender);
+        if let Some(sender) = sender {
+            self.idle.put(address, sender);
+        }
         Ok(Response::from_parts(parts, body))
     }
 }
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -129,7 +129,7 @@
         if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
             map.insert(HOST, host);
         }
-        let response = self.client.exchange(address, request, timeout, limit).await?;
+        let response = self.client.exchange(address, request, timeout, limit, |_| true).await?;
         match response.status() {
             StatusCode::OK => Ok(response.into_body()),
             status => Err(Error::Status(status)),
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -57,7 +57,8 @@
         let Some(request) = request(address, &attempt, left) else {
             return not_sent();
         };
-        match self.client.exchange(address, request, left, MAX_ANSWER).await {
+        let belongs = |map: &HeaderMap| echoed(&attempt, map);
+        match self.client.exchange(address, request, left, MAX_ANSWER, belongs).await {
             Ok(response) => reply(&attempt, response),
             Err(err) => {
                 log::debug!("attempt {} at {} failed: {err}", attempt.request.id, address);
@@ -71,7 +72,8 @@
             .header(http::header::HOST, address.to_string())
             .body(Full::default())
             .ok()?;
-        let response = self.client.exchange(address, request, timeout, MAX_REPORT).await.ok()?;
+        let exchange = self.client.exchange(address, request, timeout, MAX_REPORT, |_| true);
+        let response = exchange.await.ok()?;
         if response.status() != StatusCode::OK {
             return None;
         }
