front: refuse header fields that cannot be read

Cause: an x-request-id or x-idempotent that is not visible ASCII, or is there twice, was treated as missing or by its first value.

Ruled out: to take the last or the first of several fields; callers and proxies differ in which one they mean.

Conclusion: the three fields that a call may have are read in one place, at most once each.

--- a/crates/daemon/src/front/call.rs
+++ b/crates/daemon/src/front/call.rs
@@ -32,6 +32,9 @@
             from()
             display("{}: {}", headers::REQUEST_ID, err)
         }
+        Field(name: http::HeaderName) {
+            display("{} is not one field of visible ASCII", name)
+        }
         Timeout {
             display("{} is not a whole number of milliseconds above 0", headers::TIMEOUT_MS)
         }
@@ -78,7 +81,7 @@
     let rest = target.strip_prefix(CALL).ok_or(Error::Path)?;
     let (service, _) = rest.split_once('/').ok_or(Error::Path)?;
     let path = &rest[service.len()..];
-    let id = headers::text(&parts.headers, &headers::REQUEST_ID).map(Id::try_from).transpose()?;
+    let id = single(&parts.headers, &headers::REQUEST_ID)?.map(Id::try_from).transpose()?;
     Ok(Submission {
         id,
         service: service.into(),
@@ -94,25 +97,38 @@
 }
 
 fn timeout(map: &HeaderMap) -> Result<Option<Duration>, Error> {
-    if !map.contains_key(headers::TIMEOUT_MS) {
+    let Some(text) = single(map, &headers::TIMEOUT_MS)? else {
         return Ok(None);
-    }
-    let millis = headers::text(map, &headers::TIMEOUT_MS).and_then(|text| text.parse().ok());
-    match millis {
-        None | Some(0) => Err(Error::Timeout),
-        Some(millis) => Ok(Some(Duration::from_millis(millis))),
+    };
+    match text.parse() {
+        Err(_) | Ok(0) => Err(Error::Timeout),
+        Ok(millis) => Ok(Some(Duration::from_millis(millis))),
     }
 }
 
 fn idempotent(map: &HeaderMap) -> Result<Option<bool>, Error> {
-    match map.get(headers::IDEMPOTENT).map(|value| value.as_bytes()) {
+    match single(map, &headers::IDEMPOTENT)? {
         None => Ok(None),
-        Some(b"true") => Ok(Some(true)),
-        Some(b"false") => Ok(Some(false)),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
         Some(_) => Err(Error::Idempotent),
     }
 }
 
+/// The text of a field that may be there once. A field that cannot be read must not count as
+/// missing: the request would get another id, or be treated as something it is not.
+fn single<'a>(map: &'a HeaderMap, name: &http::HeaderName) -> Result<Option<&'a str>, Error> {
+    let mut values = map.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (None, _) => Ok(None),
+        (Some(value), None) => match value.to_str() {
+            Ok(text) => Ok(Some(text)),
+            Err(_) => Err(Error::Field(name.clone())),
+        },
+        (Some(_), Some(_)) => Err(Error::Field(name.clone())),
+    }
+}
+
 /// Status code for a request that did not run.
 pub(super) fn status(refusal: Refusal) -> StatusCode {
     match refusal {
--- a/crates/daemon/tests/exchange.rs
+++ b/crates/daemon/tests/exchange.rs
@@ -17,6 +17,13 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use self::stand::Act;
+use self::stand::Act::Close;
+use self::stand::Act::Read;
+use self::stand::LIMIT;
+use self::stand::Stand;
+use self::stand::answer;
+use self::stand::whole;
 use jackdawpin_core::name;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
@@ -34,14 +41,6 @@
 use jackdawpin_daemon::exchange::Error;
 use jackdawpin_daemon::upstream::Upstream;
 
-use self::stand::Act;
-use self::stand::Act::Close;
-use self::stand::Act::Read;
-use self::stand::LIMIT;
-use self::stand::Stand;
-use self::stand::answer;
-use self::stand::whole;
-
 const REPORT: &str = "endpoint-load-metrics: JSON {\"named_metrics\":{\"warm\":1,\"boot\":7,\"in_flight\":2,\"slots\":3}}\r\n";
 
 /// Time for a close to arrive on loopback.
