--- a/crates/core/tests/flow.rs
+++ b/crates/core/tests/flow.rs
@@ -11,6 +11,11 @@
 use rstest::rstest;
 use tokio::task::JoinHandle;
 
+use self::flow_support::ATTEMPTS;
+use self::flow_support::Fake;
+use self::flow_support::Server;
+use self::flow_support::millis;
+use self::flow_support::submission;
 use jackdawpin_core::config::Builder;
 use jackdawpin_core::config::Override;
 use jackdawpin_core::config::Policy;
@@ -38,12 +43,6 @@
 use jackdawpin_core::port::Journal;
 use jackdawpin_core::time::Instant;
 
-use self::flow_support::ATTEMPTS;
-use self::flow_support::Fake;
-use self::flow_support::Server;
-use self::flow_support::millis;
-use self::flow_support::submission;
-
 const SERVICE: &str = "orders";
 const SERVERS: usize = 4;
 const BURST: u32 = 10;
--- a/crates/core/tests/session.rs
+++ b/crates/core/tests/session.rs
@@ -10,6 +10,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use self::flow_support::EPOCH_MILLIS;
+use self::flow_support::Fake;
+use self::flow_support::Server;
+use self::flow_support::millis;
+use self::flow_support::submission;
 use jackdawpin_core::config::Builder;
 use jackdawpin_core::config::Config;
 use jackdawpin_core::config::Outage;
@@ -31,12 +36,6 @@
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::port::Clock;
 
-use self::flow_support::EPOCH_MILLIS;
-use self::flow_support::Fake;
-use self::flow_support::Server;
-use self::flow_support::millis;
-use self::flow_support::submission;
-
 /// Set to replace the stored session by the one of this run.
 const UPDATE: &str = "UPDATE_GOLDEN";
 
