pool: report the end of a drain

Cause: the time line said that a draining server receives no new work, and never that it may receive work again; after a restart it only said that the server is cold.

Before: tests/golden/session.txt has no event for the return of s2. After: "may receive work" at 9595 ms, as for a failure domain that comes back.

Conclusion: a restart at the end of a drain is not reported on its own, since a server that comes back counts as cold as a rule.

--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -125,6 +125,10 @@
                 journal.record(Event::Cold(service, vm, why));
                 self.unconfirmed.notify_one();
             }
+            Change::Returned => {
+                journal.record(Event::Included(service, vm));
+                self.unconfirmed.notify_one();
+            }
             Change::Warm => journal.record(Event::Warm(service, vm)),
             Change::Draining => {
                 let why = "the server is draining".to_owned();
--- a/crates/core/src/pool/limit.rs
+++ b/crates/core/src/pool/limit.rs
@@ -70,6 +70,8 @@
     Warm,
     /// The server says that it is draining.
     Draining,
+    /// The server no longer says that it is draining.
+    Returned,
 }
 
 /// How fast a limit grows and how high.
@@ -191,14 +193,17 @@
         let restarted = self.boot.is_some_and(|boot| boot != report.boot);
         self.boot = Some(report.boot);
         self.warm_report = Some(report.warm);
-        let drains = report.draining && !self.draining;
-        self.draining = report.draining;
+        let was_draining = std::mem::replace(&mut self.draining, report.draining);
         let cold = match (restarted, report.warm) {
             (true, _) => self.restarted(),
             (false, true) => None,
             (false, false) => self.cold("reports to be cold"),
         };
-        if drains { Some(Change::Draining) } else { cold }
+        match (was_draining, report.draining) {
+            (false, true) => Some(Change::Draining),
+            (true, false) => Some(Change::Returned),
+            _ => cold,
+        }
     }
 
     fn restarted(&mut self) -> Option<Change> {
