upstream: apply the body limit to answers

Cause: docs/configuration.md says that body_limit_bytes holds for requests and responses, and the adapter accepted 64 MiB, which is more than a small VM has for all buffered bodies.

Ruled out: the limit in the adapter's settings; it differs by service, so the attempt carries it.

Before: case too_long of tests/exchange.rs is answered.

--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -196,7 +196,9 @@
         };
         let evidence = match route.pool().acquire(now, request.idempotent) {
             Some(permit) => {
-                let attempt = Attempt { request, number, deadline: request.deadline };
+                let deadline = request.deadline;
+                let answer_limit = route.settings().policy.body_limit;
+                let attempt = Attempt { request, number, deadline, answer_limit };
                 self.dispatch(&route, permit, attempt).await
             }
             None => Evidence::NotRun(NotRun::Refused(Refusal::Full)),
--- a/crates/core/src/flow/retry.rs
+++ b/crates/core/src/flow/retry.rs
@@ -81,7 +81,8 @@
             true => request.deadline.min(now + patience),
             false => request.deadline,
         };
-        let attempt = Attempt { request, number: trace.sent, deadline };
+        let answer_limit = route.settings().policy.body_limit;
+        let attempt = Attempt { request, number: trace.sent, deadline, answer_limit };
         let evidence = match place {
             Place::Local(permit) => self.dispatch(route, permit, attempt).await,
             Place::Remote(lead) => {
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -108,4 +108,6 @@
     pub number: u32,
     /// When the work must have ended; never after the request's deadline.
     pub deadline: Instant,
+    /// Largest body of the answer, in bytes.
+    pub answer_limit: u64,
 }
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -28,9 +28,6 @@
 use jackdawpin_core::port::Reply;
 use jackdawpin_core::request::Attempt;
 
-/// Largest answer in bytes; the body limit of the configuration is at most this.
-const MAX_ANSWER: usize = 64 << 20;
-
 /// Largest answer to a probe in bytes.
 const MAX_REPORT: usize = 16 << 10;
 
@@ -57,8 +54,9 @@
         let Some(request) = request(address, &attempt, left) else {
             return not_sent();
         };
+        let limit = usize::try_from(attempt.answer_limit).unwrap_or(usize::MAX);
         let belongs = |map: &HeaderMap| echoed(&attempt, map);
-        match self.client.exchange(address, request, left, MAX_ANSWER, belongs).await {
+        match self.client.exchange(address, request, left, limit, belongs).await {
             Ok(response) => reply(&attempt, response),
             Err(err) => {
                 log::debug!("attempt {} at {} failed: {err}", attempt.request.id, address);
--- a/crates/daemon/tests/exchange.rs
+++ b/crates/daemon/tests/exchange.rs
@@ -65,7 +65,8 @@
             body: Bytes::from_static(b"four"),
         },
     };
-    let attempt = Attempt { request: &request, number: 2, deadline: request.deadline };
+    let deadline = request.deadline;
+    let attempt = Attempt { request: &request, number: 2, deadline, answer_limit: 16 };
     timeout(LIMIT, upstream.send(address, attempt)).await.unwrap()
 }
 
@@ -99,6 +100,7 @@
 #[case::no_http(vec![Read, Act::Write("hello\r\n\r\n".into()), Close], BROKEN)]
 #[case::cut_body(vec![Read, cut("content-length: 9\r\n", "1234"), Close], BAD)]
 #[case::cut_chunks(vec![Read, cut("transfer-encoding: chunked\r\n", "4\r\n12"), Close], BAD)]
+#[case::too_long(vec![Read, answer("a", "2", "", "12345678901234567")], BAD)]
 #[case::no_answer(vec![Read], LATE)]
 #[case::slow_body(vec![Read, cut("content-length: 9\r\n", "1234")], LATE)]
 #[case::no_id(vec![Read, ids("x-attempt: 2\r\n")], BAD)]
--- a/crates/daemon/tests/front.rs
+++ b/crates/daemon/tests/front.rs
@@ -53,7 +53,7 @@
     idle_timeout: Duration::from_secs(5),
 };
 
-/// Smallest body limit that a policy may have.
+/// Body limit of both services, in bytes.
 const BODY: u64 = 1_024;
 
 struct Silent;
