--- a/crates/client/src/ask/http.rs
+++ b/crates/client/src/ask/http.rs
@@ -11,14 +11,14 @@
 use volo_http::client::ClientBuilder;
 use volo_http::error::ClientError;
 
+use super::Ask;
+use super::Error;
+use super::resolver;
 use jackdawpin_wire::Explanation;
 use jackdawpin_wire::MAX_MESSAGE;
 use jackdawpin_wire::Page;
 use jackdawpin_wire::Status;
 use jackdawpin_wire::path;
-use super::Ask;
-use super::Error;
-use super::resolver;
 
 /// Characters of an error text from an entry that are shown.
 const MAX_ERROR_TEXT: usize = 200;
--- a/crates/client/src/command/check.rs
+++ b/crates/client/src/command/check.rs
@@ -1,13 +1,14 @@
 use std::fs;
-use std::io::Write;
 use std::io;
+use std::io::Write;
 use std::path::Path;
 
+use super::Context;
 use crate::Exit;
 use crate::settings::Document;
+use crate::view::check;
 use crate::view::check::Checked;
 use crate::view::check::Summary;
-use crate::view::check;
 use jackdawpin_core::config::Config;
 use jackdawpin_core::member::List;
 use jackdawpin_core::member::Role;
@@ -16,7 +17,6 @@
 use jackdawpin_document::digest;
 use jackdawpin_document::vms;
 use jackdawpin_wire::Order;
-use super::Context;
 
 /// Checks a document in a file. Asks no entry.
 ///
--- a/crates/client/src/command/mod.rs
+++ b/crates/client/src/command/mod.rs
@@ -6,15 +6,15 @@
 mod timeline;
 mod top;
 
-use std::io::Write;
 use std::io;
+use std::io::Write;
 use std::time::Duration;
 
 use crate::Exit;
 use crate::ask::Ask;
+use crate::fleet;
 use crate::fleet::Finding;
 use crate::fleet::Fleet;
-use crate::fleet;
 use crate::settings::Command;
 use crate::settings::Format;
 use crate::settings::Settings;
--- a/crates/client/src/command/timeline.rs
+++ b/crates/client/src/command/timeline.rs
@@ -1,12 +1,15 @@
 use std::collections::BTreeMap;
-use std::io::Write;
 use std::io;
+use std::io::Write;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use super::Context;
+use super::INTERVAL;
 use crate::Exit;
 use crate::ask::Ask;
 use crate::ask::Error;
+use crate::fleet;
 use crate::fleet::Cursor;
 use crate::fleet::Fleet;
 use crate::fleet::Gap;
@@ -15,12 +18,9 @@
 use crate::fleet::Record;
 use crate::fleet::Selection;
 use crate::fleet::Unreachable;
-use crate::fleet;
 use crate::settings::Filter;
 use crate::view::timeline;
 use jackdawpin_wire::Page;
-use super::Context;
-use super::INTERVAL;
 
 /// Pages read from one entry at a time; an entry that never ends must not hold up the others.
 const MAX_PAGES: usize = 1_000;
--- a/crates/client/src/fleet/finding.rs
+++ b/crates/client/src/fleet/finding.rs
@@ -1,11 +1,11 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use super::Fleet;
+use super::Member;
 use crate::view::format;
 use jackdawpin_wire::Explanation;
 use jackdawpin_wire::Order;
-use super::Fleet;
-use super::Member;
 
 /// Something that is wrong with the entries.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -13,8 +13,8 @@
 pub mod view;
 
 use std::ffi::OsString;
-use std::io::Write;
 use std::io;
+use std::io::Write;
 
 use tokio::runtime::Builder;
 
--- a/crates/client/src/main.rs
+++ b/crates/client/src/main.rs
@@ -1,8 +1,8 @@
 //! The operators' client: settings from the environment, output to the terminal.
 
 use std::env;
-use std::io::IsTerminal;
 use std::io;
+use std::io::IsTerminal;
 use std::process::ExitCode;
 
 use jackdawpin_client::Surroundings;
--- a/crates/client/src/view/check.rs
+++ b/crates/client/src/view/check.rs
@@ -5,13 +5,13 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::format;
+use super::format::clean;
+use super::value;
 use jackdawpin_core::config::Unknown;
 use jackdawpin_document::Fault;
 use jackdawpin_document::Faults;
 use jackdawpin_wire::Order;
-use super::format::clean;
-use super::format;
-use super::value;
 
 /// What a valid document contains.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/client/src/view/explain.rs
+++ b/crates/client/src/view/explain.rs
@@ -3,19 +3,19 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::fleet::Finding;
-use crate::fleet::Fleet;
-use jackdawpin_wire::Explanation;
-use jackdawpin_wire::Origin;
-use jackdawpin_wire::Server;
 use super::findings_json;
-use super::format::clean;
 use super::format;
+use super::format::clean;
 use super::notes;
 use super::table::Table;
 use super::table::left;
 use super::unreachable_json;
 use super::value;
+use crate::fleet::Finding;
+use crate::fleet::Fleet;
+use jackdawpin_wire::Explanation;
+use jackdawpin_wire::Origin;
+use jackdawpin_wire::Server;
 
 /// An explanation and the server as the entries that hold it see it.
 #[derive(Debug, Clone)]
--- a/crates/client/tests/loopback.rs
+++ b/crates/client/tests/loopback.rs
@@ -4,8 +4,8 @@
 
 use std::convert::Infallible;
 use std::error::Error;
-use std::io::Write;
 use std::io;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
--- a/crates/client/tests/settings.rs
+++ b/crates/client/tests/settings.rs
@@ -7,12 +7,12 @@
 use rstest::rstest;
 
 use jackdawpin_client::Surroundings;
+use jackdawpin_client::settings;
 use jackdawpin_client::settings::Command;
 use jackdawpin_client::settings::Error;
 use jackdawpin_client::settings::Request;
 use jackdawpin_client::settings::Settings;
 use jackdawpin_client::settings::Since;
-use jackdawpin_client::settings;
 
 fn read(line: &str, environment: Option<&str>) -> Result<Settings, String> {
     let surroundings = Surroundings {
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -125,6 +125,10 @@
                 journal.record(Event::Cold(service, vm, why));
                 self.unconfirmed.notify_one();
             }
+            Change::Returned => {
+                journal.record(Event::Included(service, vm));
+                self.unconfirmed.notify_one();
+            }
             Change::Warm => journal.record(Event::Warm(service, vm)),
             Change::Draining => {
                 let why = "the server is draining".to_owned();
@@ -192,9 +196,9 @@
         };
         let evidence = match route.pool().acquire(now, request.idempotent) {
             Some(permit) => {
-                let max_answer = route.settings().policy.body_limit;
                 let deadline = request.deadline;
-                let attempt = Attempt { request, number, deadline, max_answer };
+                let answer_limit = route.settings().policy.body_limit;
+                let attempt = Attempt { request, number, deadline, answer_limit };
                 self.dispatch(&route, permit, attempt).await
             }
             None => Evidence::NotRun(NotRun::Refused(Refusal::Full)),
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -133,7 +133,7 @@
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         request.headers_mut().insert(HOST, host);
     }
-    let response = client.exchange(address, request, timeout, limit).await?;
+    let response = client.exchange(address, request, timeout, limit, |_| true).await?;
     match response.status() {
         StatusCode::OK => Ok(response.into_body()),
         status => Err(Error::Status(status)),
@@ -148,7 +148,7 @@
             return evidence(Evidence::NotRun(NotRun::NotSent));
         };
         let path = wire::path::FORWARD;
-        let answer = usize::try_from(attempt.max_answer).unwrap_or(usize::MAX);
+        let answer = usize::try_from(attempt.answer_limit).unwrap_or(usize::MAX);
         let limit = answer.saturating_add(wire::MAX_ENVELOPE);
         let request = request(Method::POST, path, body.into());
         match call(&self.client, address, request, left, limit).await {
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -52,7 +52,8 @@
         let uri = format!("/v1/kv/{key}?index={index}&wait={}s", WAIT.as_secs());
         let request =
             Request::get(uri).header(HOST, self.address.to_string()).body(Full::<Bytes>::default());
-        let response = self.client.exchange(self.address, request?, LIMIT, MAX_BODY_BYTES).await?;
+        let response =
+            self.client.exchange(self.address, request?, LIMIT, MAX_BODY_BYTES, |_| true).await?;
         match response.status() {
             StatusCode::OK => {}
             StatusCode::NOT_FOUND => return Err(Error::Absent),
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -54,8 +54,9 @@
         let Some(request) = request(address, &attempt, left) else {
             return not_sent();
         };
-        let limit = usize::try_from(attempt.max_answer).unwrap_or(usize::MAX);
-        match self.client.exchange(address, request, left, limit).await {
+        let limit = usize::try_from(attempt.answer_limit).unwrap_or(usize::MAX);
+        let belongs = |map: &HeaderMap| echoed(&attempt, map);
+        match self.client.exchange(address, request, left, limit, belongs).await {
             Ok(response) => reply(&attempt, response),
             Err(err) => {
                 log::debug!("attempt {} at {} failed: {err}", attempt.request.id, address);
@@ -69,7 +70,8 @@
             .header(http::header::HOST, address.to_string())
             .body(Full::default())
             .ok()?;
-        let response = self.client.exchange(address, request, timeout, MAX_REPORT).await.ok()?;
+        let exchange = self.client.exchange(address, request, timeout, MAX_REPORT, |_| true);
+        let response = exchange.await.ok()?;
         if response.status() != StatusCode::OK {
             return None;
         }
--- a/crates/daemon/tests/protocol.rs
+++ b/crates/daemon/tests/protocol.rs
@@ -187,8 +187,8 @@
     let address = listener.local_addr().unwrap();
     let upstream = Upstream::new(Arc::new(Client::default()), clock::Boot);
     let request = request();
-    let (deadline, max_answer) = (request.deadline, 1 << 20);
-    let attempt = Attempt { request: &request, number: 1, deadline, max_answer };
+    let (deadline, answer_limit) = (request.deadline, 1 << 20);
+    let attempt = Attempt { request: &request, number: 1, deadline, answer_limit };
     let server = serve(listener, example(name)[0].clone());
     let (received, reply) =
         timeout(LIMIT, async { tokio::join!(server, upstream.send(address, attempt)) })
