measure: warm the running servers, tell the states of listed servers apart

Servers that run but got no request stayed cold for their holder, so their row showed the cost of claims. The base size now has no cold server: with ten of them, the slope per entry also contained the claims of the witnesses.

--- a/crates/testkit/src/measure/control.rs
+++ b/crates/testkit/src/measure/control.rs
@@ -31,7 +31,7 @@
 /// Bytes of the head of a read's request: request line and two fields.
 const READ_REQUEST: f64 = 120.0;
 /// Entries, listed servers, services and exceptions that stay the same while another number grows.
-const BASE: Size = Size { entries: 4, servers: 10, kind: Kind::Cold, services: 2, exceptions: 0 };
+const BASE: Size = Size { entries: 4, servers: 10, kind: Kind::Out, services: 2, exceptions: 0 };
 
 /// Measures the control work of one entry without requests while the fleet's size grows.
 #[derive(Debug, Clone)]
@@ -95,6 +95,7 @@
                 "grows",
                 "entries",
                 "listed servers",
+                "their state",
                 "services",
                 "configuration (KB)",
                 "VM list (KB)",
@@ -130,12 +131,19 @@
     /// The rows of each part: its name, its sizes, and what is on the x axis.
     #[allow(clippy::type_complexity)]
     fn axes(&self) -> Vec<(&'static str, Vec<Size>, fn(&Size, &Cost) -> f64)> {
-        let entries = |entries: &usize| Size { entries: *entries, ..BASE };
+        let entries = |kind| move |entries: &usize| Size { entries: *entries, kind, ..BASE };
         let servers = |kind| move |servers: &usize| Size { servers: *servers, kind, ..BASE };
         let services = |services: &usize| Size { services: *services, ..BASE };
         let exceptions = |exceptions: &usize| Size { exceptions: *exceptions, ..BASE };
         vec![
-            ("entry", self.entries.iter().map(entries).collect(), |size, _| size.entries as f64),
+            ("entry", self.entries.iter().map(entries(Kind::Out)).collect(), |size, _| {
+                size.entries as f64
+            }),
+            (
+                "entry, with unreachable servers",
+                self.entries.iter().map(entries(Kind::Cold)).collect(),
+                |size, _| size.entries as f64,
+            ),
             (
                 "server out of service",
                 self.servers.iter().map(servers(Kind::Out)).collect(),
@@ -164,6 +172,10 @@
         let running = if size.kind == Kind::Warm { size.servers } else { 0 };
         let service = setup::service(SERVICE, running, &[]);
         let mut fleet = setup::start(size.entries, vec![service], "").await?;
+        if running > 0 {
+            // A server without any request stays cold for its holder.
+            setup::warm(&fleet, SERVICE).await?;
+        }
         grow(&mut fleet, size)?;
         tokio::time::sleep(SETTLE).await;
         let process = fleet.process_id(ENTRY)?;
@@ -235,10 +247,16 @@
 }
 
 fn row(name: &str, size: &Size, cost: &Cost) -> Vec<Value> {
+    let kind = match size.kind {
+        Kind::Warm => "warm",
+        Kind::Cold => "cold",
+        Kind::Out => "out",
+    };
     vec![
         name.into(),
         size.entries.into(),
         size.servers.into(),
+        kind.into(),
         size.services.into(),
         (cost.config_bytes / 1e3).into(),
         (cost.list_bytes / 1e3).into(),
