--- a/crates/daemon/tests/cold.rs
+++ b/crates/daemon/tests/cold.rs
@@ -18,13 +18,23 @@
 const SERVERS: usize = 4;
 /// Servers that stay cold for long, so that faults meet cold ones.
 const SLOW_TO_WARM: &[&str] = &["--warm-requests=400", "--warm-ms=60000"];
-/// Longer than a lease and its margin (2.5 s), so that another entry may claim the server.
-const PAUSES_MS: std::ops::Range<u64> = 2_600..3_400;
+/// Longer than the time after which peers miss an entry's heartbeats (3 s), and than a lease and its
+/// margin (2.5 s), so that another entry holds the server when the paused one goes on.
+const PAUSES_MS: std::ops::Range<u64> = 3_200..4_200;
 /// Longer than the time after which peers miss an entry's heartbeats (3 s).
 const DOWN: Duration = Duration::from_millis(3_200);
 
-fn pick(rng: &mut Rng, prefix: &str, count: usize) -> String {
-    format!("{prefix}{}", rng.usize(1..=count))
+/// The entry that says that it holds a server; the first one if none does.
+async fn holder(fleet: &Fleet, server: &str) -> String {
+    for number in 1..=ENTRIES {
+        let name = format!("e{number}");
+        let Some(status) = common::status(fleet, &name).await else { continue };
+        let mut held = status.services.iter().flat_map(|service| &service.servers);
+        if held.any(|held| held.vm == server) {
+            return name;
+        }
+    }
+    "e1".to_owned()
 }
 
 async fn restart(fleet: &mut Fleet, name: &str, pause: Duration) {
@@ -33,10 +43,10 @@
     fleet.start_vm(name).unwrap();
 }
 
-/// A server or an entry fails, chosen by `rng`.
+/// A server starts again, and its holder fails meanwhile.
 async fn step(fleet: &mut Fleet, rng: &mut Rng) -> String {
-    let server = pick(rng, "alerts-", SERVERS);
-    let entry = pick(rng, "e", ENTRIES);
+    let server = format!("alerts-{}", rng.usize(1..=SERVERS));
+    let entry = holder(fleet, &server).await;
     restart(fleet, &server, Duration::from_millis(rng.u64(100..400))).await;
     // The holder claims the new process after a moment, and fails in the middle of it.
     sleep(Duration::from_millis(rng.u64(0..400))).await;
--- a/crates/daemon/tests/leave.rs
+++ b/crates/daemon/tests/leave.rs
@@ -21,14 +21,14 @@
 /// Factor on the work of 10 ms that makes requests longer than the wait for addresses to expire.
 const SLOW: &str = "/test/slow?factor=500&ms=3000";
 
-/// Guards against requests that a planned stop cuts, refuses or loses, against a second signal that
-/// ends the process at once, and against a stop that never ends.
+/// Guards against requests that a planned stop or the start of a replacement cuts, refuses or loses,
+/// against a second signal that ends the process at once, and against a stop that never ends.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn nothing_is_cut() {
     let services: &[(&str, usize, &[&str])] =
         &[("alerts", 6, &[]), ("reports", 3, &["--work-us=10000", "--fixed"])];
     let mut fleet = common::start(common::layout(3, 3, services)).await;
-    let time = Duration::from_secs(9);
+    let time = Duration::from_secs(11);
     let alerts = common::load(&fleet, "alerts", 250.0, time).await;
     // Servers are warm before the long requests: a cold one gets no more time than its claim.
     let short = common::load(&fleet, "reports", 150.0, WARM_UP).await.end().await;
@@ -63,10 +63,13 @@
     println!("exit {status} {:?} after the signal; e2 listed {listed}", stopped.elapsed());
     let again = fetch(fleet.address("e2").unwrap(), "GET", asked, "", WARM_UP).await.unwrap();
     assert!(!String::from_utf8_lossy(&again.body).contains(&own), "e1 is still listed");
+    // A replacement with nothing but its settings joins under the same load.
+    fleet.start_vm("e1").unwrap();
+    fleet.ready("e1", EXIT_LIMIT).await.unwrap();
     let long = reports.end().await;
     let (began, sent) = (alerts.started, alerts.end().await);
     let records: Vec<_> = sent.iter().chain(&short).chain(&long).cloned().collect();
-    let report = common::settle(&fleet, &records, &["e2", "e3"]).await;
+    let report = common::settle(&fleet, &records, &["e1", "e2", "e3"]).await;
     assert!(status.success(), "the stop ended with {status}");
     assert_eq!(report.unexplained, 0, "{report}");
     assert!(long.iter().all(|record| record.class == Class::Answered), "{long:?}");
