--- a/crates/daemon/tests/exchange.rs
+++ b/crates/daemon/tests/exchange.rs
@@ -29,6 +29,7 @@
 use jackdawpin_core::outcome::Evidence;
 use jackdawpin_core::outcome::NotRun;
 use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Peer as _;
 use jackdawpin_core::port::Reply;
 use jackdawpin_core::port::Upstream as _;
 use jackdawpin_core::request::Attempt;
@@ -39,6 +40,7 @@
 use jackdawpin_daemon::clock::Boot;
 use jackdawpin_daemon::exchange::Client;
 use jackdawpin_daemon::exchange::Error;
+use jackdawpin_daemon::peer::Peer;
 use jackdawpin_daemon::upstream::Upstream;
 
 const REPORT: &str = "endpoint-load-metrics: JSON {\"named_metrics\":{\"warm\":1,\"boot\":7,\"in_flight\":2,\"slots\":3}}\r\n";
@@ -52,8 +54,17 @@
 
 /// Sends the request `id` as attempt 2.
 async fn send(upstream: &Upstream<Boot>, address: SocketAddr, id: &str, time: Duration) -> Reply {
+    let request = order(id, time);
+    timeout(LIMIT, upstream.send(address, attempt(&request))).await.unwrap()
+}
+
+fn attempt(request: &Call) -> Attempt<'_> {
+    Attempt { request, number: 2, deadline: request.deadline, answer_limit: 16 }
+}
+
+fn order(id: &str, time: Duration) -> Call {
     let header = |name: &str| Header { name: name.into(), value: Bytes::from_static(b"v") };
-    let request = Call {
+    Call {
         id: Id::try_from(id).unwrap(),
         service: name::Service::try_from("orders").unwrap(),
         deadline: Boot.now() + time,
@@ -64,10 +75,7 @@
             headers: vec![header("x-kind"), header("te")],
             body: Bytes::from_static(b"four"),
         },
-    };
-    let deadline = request.deadline;
-    let attempt = Attempt { request: &request, number: 2, deadline, answer_limit: 16 };
-    timeout(LIMIT, upstream.send(address, attempt)).await.unwrap()
+    }
 }
 
 fn status(reply: &Reply) -> Option<u16> {
@@ -125,6 +133,26 @@
     assert_eq!((status(&next), stand.connections()), (Some(200), 2), "{:?}", stand.log());
 }
 
+/// Guards against forwards that count as not run although the peer may have passed them on.
+#[rstest]
+#[case::closed(vec![Read, Close], BROKEN)]
+#[case::late(vec![Read], LATE)]
+#[case::no_message(vec![Read, whole(200, "", "text")], BAD)]
+#[case::error(vec![Read, whole(400, "", "")], BAD)]
+#[case::other_listener(vec![Read, whole(503, "x-not-run: 1\r\n", "")], BAD)]
+#[tokio::test]
+async fn a_forward_proves_no_more_than_it_shows(
+    #[case] script: Vec<Act>,
+    #[case] expected: Evidence,
+) {
+    let stand = Stand::start(vec![script]).await;
+    let peer = Peer::new(Arc::new(Client::default()), Boot);
+    let (vm, request) = (name::Vm::try_from("e2").unwrap(), order("a", Duration::from_millis(150)));
+    let forwarded = timeout(LIMIT, peer.forward(&vm, stand.address, attempt(&request))).await;
+    let forwarded = forwarded.unwrap();
+    assert_eq!((forwarded.evidence, forwarded.free), (expected, None));
+}
+
 /// Guards against a refusal that is taken for an answer, or an answer for a refusal; whole answers
 /// leave their connection usable.
 #[rstest]
--- a/crates/daemon/tests/stand/mod.rs
+++ b/crates/daemon/tests/stand/mod.rs
@@ -123,7 +123,7 @@
     let len = head.lines().find_map(|line| line.strip_prefix("content-length: "));
     let mut body = vec![0; len.map_or(0, |len| len.parse().unwrap())];
     stream.read_exact(&mut body).await.ok()?;
-    Some(head + &String::from_utf8(body).unwrap())
+    Some(head + &String::from_utf8_lossy(&body))
 }
 
 /// Sends `bytes` on a new connection and returns the response.
