--- a/crates/daemon/tests/leave.rs
+++ b/crates/daemon/tests/leave.rs
@@ -28,10 +28,11 @@
     let services: &[(&str, usize, &[&str])] =
         &[("alerts", 6, &[]), ("reports", 3, &["--work-us=10000", "--fixed"])];
     let mut fleet = common::start(common::layout(3, 3, services)).await;
-    let time = Duration::from_secs(11);
+    let time = Duration::from_secs(12);
     let alerts = common::load(&fleet, "alerts", 250.0, time).await;
     // Servers are warm before the long requests: a cold one gets no more time than its claim.
-    let short = common::load(&fleet, "reports", 150.0, WARM_UP).await.end().await;
+    let short =
+        common::load(&fleet, "reports", 150.0, WARM_UP + Duration::from_secs(1)).await.end().await;
     for number in 1..=3 {
         fleet.command(&format!("reports-{number}"), SLOW).await.unwrap();
     }
