--- a/crates/core/src/flow/scout.rs
+++ b/crates/core/src/flow/scout.rs
@@ -52,7 +52,9 @@
             None => 0,
         };
         if free == 0 {
-            self.clock().sleep_until(start + PAUSE).await;
+            // Without a peer to ask there is nothing to do before another one may hold servers.
+            let pause = if share == 0 { WAIT } else { PAUSE };
+            self.clock().sleep_until(start + pause).await;
         }
     }
 
