Ask the table of peers once for the available entries

Cause: each tick, ten times a second, walked the whole VM list and took the table's lock for each entry, to build what Peers::all_available gives in one call; membership was then a linear search for each server and candidate. The refusal of connections wrote out header names and values that the headers module has as constants. After: one call and a binary search, the constants, and an import in place of a long path.

--- a/crates/core/src/control/reconcile.rs
+++ b/crates/core/src/control/reconcile.rs
@@ -7,7 +7,6 @@
 use crate::flow::Route;
 use crate::flow::Routes;
 use crate::intent::Order;
-use crate::member::List;
 use crate::name;
 use crate::pool::Held;
 use crate::port::Clock;
@@ -37,13 +36,13 @@
         let basis = Basis {
             config: intent.config_order,
             list: intent.list_order,
-            available: self.available(&intent.list, now),
+            available: self.available(now),
         };
         if self.basis.lock().replace(basis.clone()).as_ref() == Some(&basis) {
             return;
         }
         let own = &self.identity.vm;
-        let available = |vm: &name::Vm| basis.available.contains(vm);
+        let available = |vm: &name::Vm| basis.available.binary_search(vm).is_ok();
         let holdings = holdings(&intent.config, &intent.list, own, available);
         let previous = self.tables.routes();
         let mut routes = Vec::new();
@@ -64,17 +63,13 @@
         self.tables.unconfirmed.notify_one();
     }
 
-    /// The live entries that may hold servers, in the order of the list.
-    fn available(&self, list: &List, now: Instant) -> Vec<name::Vm> {
-        let own = &self.identity.vm;
-        let leaving = self.tables.gate.is_leaving();
-        list.live_entries()
-            .filter(|vm| match vm.name == *own {
-                true => !leaving,
-                false => self.tables.peers.available(&vm.name, now),
-            })
-            .map(|vm| vm.name.clone())
-            .collect()
+    /// The entries that may hold servers, by name.
+    fn available(&self, now: Instant) -> Vec<name::Vm> {
+        let mut available = self.tables.peers.all_available(now);
+        if self.tables.gate.is_leaving() {
+            available.retain(|vm| *vm != self.identity.vm);
+        }
+        available
     }
 
     fn report(&self, service: &name::Service, held: &Held) {
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -49,8 +50,8 @@
     pub(crate) vm: name::Vm,
     pub(crate) address: SocketAddr,
     pub(crate) until: Option<Instant>,
-    pub(crate) patience: std::time::Duration,
-    pub(crate) needed: std::time::Duration,
+    pub(crate) patience: Duration,
+    pub(crate) needed: Duration,
 }
 
 impl Permit {
--- a/crates/daemon/src/listen/refusal.rs
+++ b/crates/daemon/src/listen/refusal.rs
@@ -14,6 +14,9 @@
 use volo_http::response::Response;
 
 use super::Context;
+use crate::headers::OUTCOME;
+use crate::headers::OUTCOME_REASON;
+use crate::headers::REFUSED;
 
 /// Number of connections above the limit that get a response at the same time; further ones are
 /// closed at once.
@@ -42,8 +45,8 @@
         let mut response = Response::new(Full::new(Bytes::new()));
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         let headers = response.headers_mut();
-        headers.insert("x-outcome", HeaderValue::from_static("refused"));
-        headers.insert("x-outcome-reason", HeaderValue::from_static(REASON));
+        headers.insert(OUTCOME, HeaderValue::from_static(REFUSED));
+        headers.insert(OUTCOME_REASON, HeaderValue::from_static(REASON));
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         Ok(response)
     }
