--- /dev/null
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -0,0 +1,434 @@
+//! The servers, what this entry knows of them, and the choice among them.
+//!
+//! [`Fleet`] is one shared table. A choice has two steps, because probes are I/O and no lock is held
+//! meanwhile: [`Fleet::candidates`] names servers, of which those without a fresh report are to be
+//! probed, and [`Fleet::choose`] takes the best of those with a fresh report and counts the request
+//! as in flight there.
+
+mod score;
+mod server;
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use self::score::Standing;
+use self::server::Flight;
+use self::server::Listed;
+use self::server::State;
+use crate::direct::cold;
+use crate::direct::port::Probe;
+use crate::lock::Mutex;
+use crate::lock::Rank;
+use crate::name;
+use crate::port::Random;
+use crate::time::Instant;
+
+pub use self::score::Work;
+pub use self::server::Load;
+pub use self::server::Report;
+pub use self::server::Server;
+
+/// How long a server whose entry ended without notice is still used if there is no better one. It
+/// stays below the time in which a server that left must get no more work.
+pub const LAPSE: Duration = Duration::from_millis(1_200);
+
+/// The same after the store was away: entries that lapsed meanwhile are back within about 2 s.
+pub const LAPSE_AFTER_OUTAGE: Duration = Duration::from_millis(2_200);
+
+/// A chance to be in time from which on no further servers are asked.
+const GOOD_CHANCE: f64 = 0.85;
+
+/// Weight of a new answer time in the estimate of the usual one.
+const USUAL_GAIN: f64 = 0.08;
+
+/// Routes whose usual time is kept.
+const MAX_USUAL: usize = 2_048;
+
+/// Names of servers that were asked for one request.
+pub type Asked = SmallVec<[name::Vm; 12]>;
+
+/// A server that may be chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its name.
+    pub server: name::Vm,
+    /// Where to probe it.
+    pub address: SocketAddr,
+    /// Whether it needs a probe, because there is no fresh report.
+    pub probe: bool,
+}
+
+/// Which servers are to be asked next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Those of the entry's own failure domain.
+    Near,
+    /// All.
+    All,
+}
+
+/// The server that was chosen. The request counts as in flight until [`Fleet::finish`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pick {
+    /// The server.
+    pub server: name::Vm,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The flight, for [`Fleet::finish`].
+    pub ticket: u64,
+    /// The report that decided.
+    pub report: Report,
+    /// Age of the report.
+    pub age: Duration,
+    /// Expected time until the answer.
+    pub expected: Duration,
+    /// The chance that the answer is in time.
+    pub chance: f64,
+}
+
+/// The result of a choice.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Choice {
+    /// This server.
+    Pick(Pick),
+    /// Every server would take longer than allowed; this is the shortest expected time.
+    Busy(Duration),
+    /// No server can be used.
+    Nobody,
+}
+
+/// How a flight ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Landing {
+    /// With an answer after this time.
+    Answered(Duration),
+    /// The server did not run the request, and said so.
+    Shed,
+    /// The server failed it.
+    Fault,
+    /// The server could not be reached, or is another one.
+    Absent,
+    /// The entry gave it up; nothing is known.
+    GivenUp,
+}
+
+/// Conditions of a choice.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// What is known of the request.
+    pub work: Work,
+    /// Longest expected time that is accepted.
+    pub limit: Duration,
+    /// From when on a missing answer counts as a fault.
+    pub overdue: Instant,
+    /// Requests a second that this entry may send to a cold server it owns.
+    pub cold_allowance: usize,
+    /// Whether nobody is chosen unless a server is likely to answer in time.
+    pub only_good: bool,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    services: HashMap<name::Service, Vec<State>>,
+    homes: HashMap<name::Vm, name::Service>,
+    out: HashSet<name::Domain>,
+    usual: HashMap<Box<str>, f64>,
+    next_ticket: u64,
+}
+
+/// The table of servers.
+#[derive(Debug)]
+pub struct Fleet {
+    domain: name::Domain,
+    table: Mutex<Table>,
+}
+
+impl Fleet {
+    /// Creates an empty table for an entry in `domain`.
+    pub fn new(domain: name::Domain) -> Self {
+        Self { domain, table: Mutex::new(Rank::Pool, Table::default()) }
+    }
+
+    /// Takes over what the platform says of a server.
+    pub fn update(&self, server: Server, now: Instant) {
+        let mut table = self.table.lock();
+        let moved = table.homes.get(&server.name).filter(|home| **home != server.service).cloned();
+        if let Some(old) = moved {
+            table.remove(&old, &server.name);
+        }
+        table.homes.insert(server.name.clone(), server.service.clone());
+        let states = table.services.entry(server.service.clone()).or_default();
+        match states.iter_mut().find(|state| state.server.name == server.name) {
+            Some(state) => state.update(server, now),
+            None => states.push(State::new(server, now)),
+        }
+    }
+
+    /// The platform no longer lists a server. One that had said that it leaves is dropped at once;
+    /// another one is used for `keep` if there is no better one.
+    pub fn lapse(&self, server: &str, keep: Duration, now: Instant) {
+        let mut table = self.table.lock();
+        let Some((name, service)) = table.homes.get_key_value(server) else {
+            return;
+        };
+        let (name, service) = (name.clone(), service.clone());
+        table.sweep(now);
+        match table.state(service.as_str(), name.as_str()) {
+            Some(state) if !state.server.draining => {
+                if state.listed == Listed::Yes {
+                    state.listed = Listed::Until(now + keep);
+                }
+            }
+            _ => table.remove(&service, &name),
+        }
+    }
+
+    /// Takes a failure domain out of service, or back.
+    pub fn set_out(&self, domain: &name::Domain, out: bool) {
+        let mut table = self.table.lock();
+        if out {
+            table.out.insert(domain.clone());
+        } else {
+            table.out.remove(domain);
+        }
+    }
+
+    /// Numbers of usable servers and of all servers.
+    pub fn counts(&self, now: Instant) -> (usize, usize) {
+        let table = self.table.lock();
+        let states = || table.services.values().flatten();
+        let usable = states().filter(|state| table.usable(state, now)).count();
+        (usable, states().count())
+    }
+
+    /// The time that work of `route` takes at the usual pace, or `guess` while none was seen.
+    pub fn usual(&self, route: &str, guess: Duration) -> Duration {
+        let table = self.table.lock();
+        table.usual.get(route).map_or(guess, |seconds| Duration::from_secs_f64(*seconds))
+    }
+
+    /// Up to `count` servers of `service`, none of which is in `asked`; those with a fresh report
+    /// come first.
+    pub fn candidates(
+        &self,
+        service: &str,
+        reach: Reach,
+        asked: &Asked,
+        count: usize,
+        now: Instant,
+        random: &impl Random,
+    ) -> SmallVec<[Candidate; 8]> {
+        let table = self.table.lock();
+        let Some(states) = table.services.get(service) else {
+            return SmallVec::new();
+        };
+        let wanted = |state: &&State| {
+            table.usable(state, now)
+                && !state.resting(now)
+                && (reach == Reach::All || state.server.domain == self.domain)
+                && !asked.contains(&state.server.name)
+        };
+        let mut found: SmallVec<[&State; 32]> = states.iter().filter(wanted).collect();
+        let mut chosen = SmallVec::new();
+        while chosen.len() < count && !found.is_empty() {
+            let bound = u64::try_from(found.len()).unwrap_or(u64::MAX);
+            let index = usize::try_from(random.below(bound)).unwrap_or(0);
+            let state = found.swap_remove(index);
+            chosen.push(Candidate {
+                server: state.server.name.clone(),
+                address: state.server.address,
+                probe: state.fresh(now).is_none(),
+            });
+        }
+        chosen
+    }
+
+    /// Records the answer to a probe; `None` if there was none.
+    pub fn note_probe(&self, service: &str, server: &str, probe: Option<&Probe>, now: Instant) {
+        let mut table = self.table.lock();
+        let Some(state) = table.state(service, server) else {
+            return;
+        };
+        match probe {
+            Some(probe) if probe.server.as_ref().is_none_or(|name| name.as_str() == server) => {
+                state.note_report(now, probe.report);
+                state.note_health(probe.healthy);
+            }
+            _ => state.note_silence(now),
+        }
+    }
+
+    /// Chooses the best of the servers in `asked` that have a fresh report. `owned` tells whether
+    /// this entry may send to a server while it is cold.
+    pub fn choose(
+        &self,
+        service: &str,
+        asked: &Asked,
+        terms: &Terms,
+        owned: impl Fn(&name::Vm) -> bool,
+        now: Instant,
+    ) -> Choice {
+        let mut table = self.table.lock();
+        let mut best: Option<(f64, name::Vm, Duration)> = None;
+        for state in table.services.get(service).map(Vec::as_slice).unwrap_or_default() {
+            let name = &state.server.name;
+            if !asked.contains(name) || !table.usable(state, now) {
+                continue;
+            }
+            let Some(report) = state.fresh(now) else {
+                continue;
+            };
+            let cold = !report.cold_for.is_zero();
+            if cold && !(state.sends.free(now, terms.cold_allowance) && owned(name)) {
+                continue;
+            }
+            let standing = self.standing(state, now);
+            let expected = score::expected(report, &standing, &terms.work);
+            let value = score::value(expected, &standing, &terms.work);
+            if best.as_ref().is_none_or(|(most, ..)| value > *most) {
+                best = Some((value, name.clone(), expected));
+            }
+        }
+        let Some((_, name, expected)) = best else {
+            return Choice::Nobody;
+        };
+        let chance = score::chance(expected, terms.work.left);
+        if expected > terms.limit {
+            return Choice::Busy(expected);
+        }
+        if terms.only_good && chance < GOOD_CHANCE {
+            return Choice::Busy(expected);
+        }
+        table
+            .launch(service, &name, terms, expected, chance, now)
+            .map_or(Choice::Nobody, Choice::Pick)
+    }
+
+    fn standing(&self, state: &State, now: Instant) -> Standing {
+        Standing {
+            unreported: state.unreported(),
+            slots: state.server.slots,
+            in_flight: u32::try_from(state.flights.len()).unwrap_or(u32::MAX),
+            faults: state.fault_rate(now),
+            far: state.server.domain != self.domain,
+            lapsed: state.listed != Listed::Yes,
+        }
+    }
+
+    /// Records how a flight ended. `route` and `pick` tell what the time of an answer says about the
+    /// usual one.
+    pub fn finish(&self, service: &str, route: &str, pick: &Pick, landing: Landing, now: Instant) {
+        let mut table = self.table.lock();
+        if let Landing::Answered(time) = landing {
+            table.learn(route, pick, time);
+        }
+        let Some(state) = table.state(service, pick.server.as_str()) else {
+            return;
+        };
+        state.flights.retain(|flight| flight.ticket != pick.ticket);
+        match landing {
+            Landing::Answered(_) => state.note_success(now),
+            Landing::Fault => state.note_fault(now),
+            Landing::Absent => {
+                state.note_fault(now);
+                state.note_silence(now);
+            }
+            Landing::Shed | Landing::GivenUp => {}
+        }
+    }
+}
+
+impl Table {
+    fn state(&mut self, service: &str, server: &str) -> Option<&mut State> {
+        let states = self.services.get_mut(service)?;
+        states.iter_mut().find(|state| state.server.name.as_str() == server)
+    }
+
+    fn remove(&mut self, service: &name::Service, server: &name::Vm) {
+        self.homes.remove(server);
+        if let Some(states) = self.services.get_mut(service) {
+            states.retain(|state| state.server.name != *server);
+        }
+    }
+
+    /// Forgets the servers whose entries ended long ago.
+    fn sweep(&mut self, now: Instant) {
+        let gone = |state: &State| match state.listed {
+            Listed::Yes => false,
+            Listed::Until(end) => end < now && state.flights.is_empty(),
+        };
+        for states in self.services.values_mut() {
+            for state in states.iter().filter(|state| gone(state)) {
+                self.homes.remove(&state.server.name);
+            }
+            states.retain(|state| !gone(state));
+        }
+    }
+
+    /// Whether a server may receive work.
+    fn usable(&self, state: &State, now: Instant) -> bool {
+        let listed = match state.listed {
+            Listed::Yes => true,
+            Listed::Until(end) => now <= end,
+        };
+        listed && !state.server.draining && !self.out.contains(&state.server.domain)
+    }
+
+    fn launch(
+        &mut self,
+        service: &str,
+        server: &name::Vm,
+        terms: &Terms,
+        expected: Duration,
+        chance: f64,
+        now: Instant,
+    ) -> Option<Pick> {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let state = self.state(service, server.as_str())?;
+        let report = *state.fresh(now)?;
+        if !report.cold_for.is_zero() && !state.sends.take(now, terms.cold_allowance) {
+            return None;
+        }
+        state.flights.push(Flight { ticket, since: now, overdue: terms.overdue });
+        Some(Pick {
+            server: server.clone(),
+            address: state.server.address,
+            ticket,
+            report,
+            age: state.report_age(now).unwrap_or_default(),
+            expected,
+            chance,
+        })
+    }
+
+    /// Updates the usual time of a route from one answer, freed of what the report explains.
+    fn learn(&mut self, route: &str, pick: &Pick, time: Duration) {
+        if self.usual.len() >= MAX_USUAL && !self.usual.contains_key(route) {
+            return;
+        }
+        let usual = self.usual.get(route).copied();
+        let Some(load) = pick.report.load else {
+            self.blend(route, usual, time.as_secs_f64());
+            return;
+        };
+        // Answers of servers that are busy or slow say more about the server than about the work.
+        if load.pace <= 130 && load.running + load.waiting <= 1 && pick.report.cold_for.is_zero() {
+            self.blend(route, usual, time.as_secs_f64() * 100.0 / f64::from(load.pace.max(20)));
+        }
+    }
+
+    fn blend(&mut self, route: &str, usual: Option<f64>, seconds: f64) {
+        let mixed = usual.map_or(seconds, |old| old + (seconds - old) * USUAL_GAIN);
+        self.usual.insert(route.into(), mixed);
+    }
+}
+
+/// Requests a second that one owner may send to a cold server that bears `bound` a second.
+pub fn cold_allowance(bound: f64) -> usize {
+    cold::allowance(bound, cold::OWNERS)
+}
--- /dev/null
+++ b/crates/core/src/direct/flow/call.rs
@@ -0,0 +1,132 @@
+use std::time::Duration;
+
+use super::END_MARGIN;
+use crate::direct::fleet::Asked;
+use crate::direct::fleet::Pick;
+use crate::direct::plan::Route;
+use crate::direct::port::Verdict;
+use crate::outcome::Answer;
+use crate::outcome::Doubt;
+use crate::outcome::Outcome;
+use crate::outcome::Refusal;
+use crate::port::Random;
+use crate::request::Content;
+use crate::time::Instant;
+
+/// Attempts that reached no server, after which a request is refused.
+pub(super) const MAX_UNSENT: u32 = 4;
+
+/// Longest time of a request whose caller and route name none.
+const DEFAULT_TIME: Duration = Duration::from_secs(10);
+
+/// Aim of a route that names none.
+const DEFAULT_AIM: Duration = Duration::from_secs(1);
+
+/// Shortest time after which a refused caller is asked to come back, and the span over which callers
+/// are spread.
+const COME_BACK: Duration = Duration::from_millis(120);
+const COME_BACK_SPREAD: Duration = Duration::from_millis(120);
+
+/// A request on its way.
+#[derive(Debug, Clone, Copy)]
+pub struct Call<'a> {
+    /// The caller's id of the request.
+    pub id: &'a str,
+    /// Its route.
+    pub route: &'a Route,
+    /// When this entry received it.
+    pub received: Instant,
+    /// How long the caller waits from then on, if it says so.
+    pub patience: Option<Duration>,
+    /// What the server sees.
+    pub content: &'a Content,
+}
+
+impl Call<'_> {
+    /// When the request must have ended.
+    pub(super) fn until(&self) -> Instant {
+        let patience = self.patience.unwrap_or(DEFAULT_TIME);
+        let time = self.route.timeout.map_or(patience, |timeout| patience.min(timeout));
+        self.received + time.saturating_sub(END_MARGIN)
+    }
+
+    pub(super) fn aim(&self) -> Duration {
+        self.route.aim.or(self.route.timeout).unwrap_or(DEFAULT_AIM)
+    }
+}
+
+/// How a request ended, and what led to it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ended {
+    /// What the caller is told.
+    pub outcome: Outcome,
+    /// When the caller may come back, if the request was refused.
+    pub come_back: Option<Duration>,
+    /// Attempts that may have reached a server.
+    pub sends: u32,
+    /// Whether a second attempt was made because the first took long.
+    pub hedged: bool,
+    /// The last server tried, and the report that it was chosen by.
+    pub last: Option<Pick>,
+    /// What the last attempt proved.
+    pub verdict: &'static str,
+}
+
+/// What happened to a request so far.
+#[derive(Debug, Default)]
+pub(super) struct Trail {
+    pub(super) tried: Asked,
+    pub(super) sends: u32,
+    pub(super) refused_sends: u32,
+    pub(super) arrivals: u32,
+    pub(super) doubt: bool,
+    pub(super) failed: Option<Answer>,
+    pub(super) hedged: bool,
+    pub(super) pick: Option<Pick>,
+    pub(super) last: &'static str,
+}
+
+impl Trail {
+    pub(super) fn arrived(&self) -> bool {
+        self.arrivals > 0 || self.doubt || self.failed.is_some()
+    }
+
+    pub(super) fn note(&mut self, pick: &Pick, verdict: &Verdict) {
+        self.pick = Some(pick.clone());
+        self.last = match verdict {
+            Verdict::Ran(_) => "ran",
+            Verdict::Shed => "shed",
+            Verdict::Misdirected => "misdirected",
+            Verdict::NotSent => "not_sent",
+            Verdict::MayHaveRun(why) => why,
+        };
+        match verdict {
+            Verdict::NotSent => self.refused_sends += 1,
+            _ => self.sends += 1,
+        }
+    }
+
+    /// The end without a good answer: what a server answered, if one did; else unknown, if one may
+    /// have run the request; else `refusal`, which says that none did.
+    pub(super) fn close(&mut self, refusal: Refusal) -> Outcome {
+        match self.failed.take() {
+            Some(answer) => Outcome::Answered(answer),
+            None if self.doubt && self.last == "timeout" => Outcome::Unknown(Doubt::Timeout),
+            None if self.doubt => Outcome::Unknown(Doubt::Broken),
+            None => Outcome::Refused(refusal),
+        }
+    }
+
+    pub(super) fn end(self, outcome: Outcome, random: &impl Random) -> Ended {
+        let spread = u64::try_from(COME_BACK_SPREAD.as_micros()).unwrap_or(u64::MAX);
+        let come_back = COME_BACK + Duration::from_micros(random.below(spread));
+        Ended {
+            come_back: matches!(outcome, Outcome::Refused(_)).then_some(come_back),
+            outcome,
+            sends: self.sends,
+            hedged: self.hedged,
+            last: self.pick,
+            verdict: self.last,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/flow/find.rs
@@ -0,0 +1,212 @@
+//! Finds a server: asks a few, nearest first, and takes the best.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use tokio::task::JoinHandle;
+
+use super::Call;
+use super::Flow;
+use crate::direct::cold;
+use crate::direct::fleet;
+use crate::direct::fleet::Asked;
+use crate::direct::fleet::Candidate;
+use crate::direct::fleet::Choice;
+use crate::direct::fleet::Pick;
+use crate::direct::fleet::Reach;
+use crate::direct::fleet::Terms;
+use crate::direct::fleet::Work;
+use crate::direct::port::Backend;
+use crate::name;
+use crate::outcome::Refusal;
+use crate::port::Clock;
+use crate::port::Random;
+use crate::time::Instant;
+
+/// Times that servers are asked for one attempt. Each time others are asked; the first time only
+/// near ones.
+const ROUNDS: usize = 3;
+
+/// Time for the answer to a probe. It covers a round trip, the server's few milliseconds and an
+/// entry that is short of processor time.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// How long the other answers are waited for after the first one.
+const STRAGGLERS: Duration = Duration::from_millis(8);
+
+/// How long any answer is waited for before further servers are asked.
+const FIRST_ANSWER: Duration = Duration::from_millis(30);
+
+/// Pause before servers are asked again if none could be used.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Part of the aim for which a request without a usable server waits for one.
+const WAIT_PART: u32 = 6;
+
+/// Longest expected time that is accepted, as a factor on the aim, by priority. The less urgent
+/// requests are refused first.
+const LIMIT_FACTORS: [f64; 3] = [1.3, 1.1, 0.9];
+
+/// Usual time of work before the first answer, as a part of the aim.
+const FIRST_GUESS: f64 = 0.4;
+
+/// Shortest time after which a missing answer counts as a fault, as a factor on the aim.
+const OVERDUE_FACTOR: f64 = 1.3;
+
+/// Time left below which nothing is sent: the round trip and a little work.
+const MIN_LEFT: Duration = Duration::from_millis(5);
+
+pub(super) enum Found {
+    Pick(Pick),
+    Nothing(Refusal),
+}
+
+impl<B: Backend, C: Clock, R: Random> Flow<B, C, R> {
+    pub(super) async fn find(
+        self: &Arc<Self>,
+        call: &Call<'_>,
+        service: &name::Service,
+        tried: &Asked,
+    ) -> Found {
+        let give_up = call.received + call.aim() / WAIT_PART;
+        loop {
+            match self.ask(call, service, tried).await {
+                Choice::Pick(pick) => return Found::Pick(pick),
+                Choice::Busy(_) => return Found::Nothing(Refusal::QueueFull),
+                Choice::Nobody => {}
+            }
+            let now = self.clock.now();
+            if now + MIN_LEFT >= call.until() {
+                return Found::Nothing(Refusal::Deadline);
+            }
+            if now >= give_up {
+                return Found::Nothing(Refusal::NoServer);
+            }
+            self.clock.sleep_until(now + PAUSE).await;
+        }
+    }
+
+    /// Asks servers in rounds until one is good enough, or the last round takes the best.
+    async fn ask(
+        self: &Arc<Self>,
+        call: &Call<'_>,
+        service: &name::Service,
+        tried: &Asked,
+    ) -> Choice {
+        let mut asked: Asked = Asked::new();
+        let mut choice = Choice::Nobody;
+        for round in 0..ROUNDS {
+            let reach = if round == 0 { Reach::Near } else { Reach::All };
+            let fresh = self.probe_some(service, reach, &asked, tried).await;
+            let last = round + 1 == ROUNDS;
+            if fresh.is_empty() && !last {
+                continue;
+            }
+            asked.extend(fresh);
+            let now = self.clock.now();
+            let terms = Terms { only_good: !last, ..self.terms(call, service, now) };
+            let own = |server: &name::Vm| self.owns(server, now);
+            let name = service.as_str();
+            choice = self.fleet.choose(name, &asked, &terms, own, now);
+            if matches!(choice, Choice::Pick(_)) {
+                return choice;
+            }
+        }
+        choice
+    }
+
+    /// Probes servers that were not asked yet, and returns the names of those asked.
+    async fn probe_some(
+        self: &Arc<Self>,
+        service: &name::Service,
+        reach: Reach,
+        asked: &Asked,
+        tried: &Asked,
+    ) -> Asked {
+        let now = self.clock.now();
+        let Some(path) =
+            self.plan().and_then(|plan| Some(plan.service(service)?.probe_path.clone()))
+        else {
+            return Asked::new();
+        };
+        let mut excluded = asked.clone();
+        excluded.extend(tried.iter().cloned());
+        let width = self.probe_width(now);
+        let name = service.as_str();
+        let found = self.fleet.candidates(name, reach, &excluded, width, now, &self.random);
+        let probes: SmallVec<[JoinHandle<()>; 8]> = found
+            .iter()
+            .filter(|candidate| candidate.probe)
+            .map(|candidate| self.spawn_probe(service, candidate, &path))
+            .collect();
+        self.accounts.lock().probes.spend(probes.len());
+        self.accounts.lock().counts.probes += u64::try_from(probes.len()).unwrap_or(0);
+        wait(probes).await;
+        found.into_iter().map(|candidate| candidate.server).collect()
+    }
+
+    fn probe_width(&self, now: Instant) -> usize {
+        let rate = self.bounds.lock().probe_rate;
+        let entries = self.peers.count(now);
+        let (usable, _) = self.fleet.counts(now);
+        let probes = &mut self.accounts.lock().probes;
+        probes.fill(now, rate, usable, entries);
+        probes.width()
+    }
+
+    /// A probe in a task of its own: its answer is of use for other requests even if this one does
+    /// not wait for it, and its connection is kept.
+    fn spawn_probe(
+        self: &Arc<Self>,
+        service: &name::Service,
+        candidate: &Candidate,
+        path: &str,
+    ) -> JoinHandle<()> {
+        let flow = Arc::clone(self);
+        let (service, candidate, path) = (service.clone(), candidate.clone(), path.to_owned());
+        tokio::spawn(async move {
+            let probe = flow.backend.probe(candidate.address, &path, PROBE_TIMEOUT).await;
+            let (service, server) = (service.as_str(), candidate.server.as_str());
+            flow.fleet.note_probe(service, server, probe.as_ref(), flow.clock.now());
+        })
+    }
+
+    fn terms(&self, call: &Call<'_>, service: &name::Service, now: Instant) -> Terms {
+        let aim = call.aim();
+        let elapsed = now.since(call.received);
+        let usual = self.fleet.usual(&call.route.name, aim.mul_f64(FIRST_GUESS));
+        let rank = usize::try_from(call.route.priority).unwrap_or(usize::MAX);
+        let factor = LIMIT_FACTORS[rank.min(LIMIT_FACTORS.len() - 1)];
+        let bounds = *self.bounds.lock();
+        let plan = self.plan();
+        let rate = plan.and_then(|plan| Some(plan.service(service)?.cold_rate)).unwrap_or(0.0);
+        Terms {
+            work: Work { usual, left: aim.saturating_sub(elapsed) },
+            limit: aim.mul_f64(factor),
+            overdue: now + aim.mul_f64(OVERDUE_FACTOR),
+            cold_allowance: fleet::cold_allowance(rate * bounds.cold_factor + bounds.cold_slack),
+            only_good: false,
+        }
+    }
+
+    /// Whether this entry is one of the few that send to `server` while it is cold.
+    fn owns(&self, server: &name::Vm, now: Instant) -> bool {
+        self.peers.is_among(server.as_str(), cold::OWNERS, now)
+    }
+}
+
+/// Waits for the first probe, and a little for the others.
+async fn wait(probes: SmallVec<[JoinHandle<()>; 8]>) {
+    if probes.is_empty() {
+        return;
+    }
+    let mut pending: futures_util::stream::FuturesUnordered<_> = probes.into_iter().collect();
+    let next = futures_util::StreamExt::next(&mut pending);
+    if tokio::time::timeout(FIRST_ANSWER, next).await.is_err() {
+        return;
+    }
+    let rest = async { while futures_util::StreamExt::next(&mut pending).await.is_some() {} };
+    // A probe that takes longer is noted when it ends.
+    let _ = tokio::time::timeout(STRAGGLERS, rest).await;
+}
--- /dev/null
+++ b/crates/core/src/direct/flow/hedge.rs
@@ -0,0 +1,155 @@
+//! One attempt, and a second one beside it if an idempotent request takes long.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Call;
+use super::Flow;
+use super::call::Trail;
+use super::find::Found;
+use crate::direct::fleet::Asked;
+use crate::direct::fleet::Fleet;
+use crate::direct::fleet::Landing;
+use crate::direct::fleet::Pick;
+use crate::direct::port::Attempt;
+use crate::direct::port::Backend;
+use crate::direct::port::Verdict;
+use crate::name;
+use crate::port::Clock;
+use crate::port::Random;
+use crate::time::Instant;
+
+/// Factor on the expected time after which a second attempt is worth its load.
+const LATE_FACTOR: f64 = 1.7;
+
+/// A request in flight; one that is dropped without an answer was given up.
+struct Flight<'a, C: Clock> {
+    fleet: &'a Fleet,
+    clock: &'a C,
+    service: &'a str,
+    route: &'a str,
+    pick: &'a Pick,
+    landed: bool,
+}
+
+impl<C: Clock> Flight<'_, C> {
+    fn land(mut self, landing: Landing) {
+        self.landed = true;
+        self.fleet.finish(self.service, self.route, self.pick, landing, self.clock.now());
+    }
+}
+
+impl<C: Clock> Drop for Flight<'_, C> {
+    fn drop(&mut self) {
+        if !self.landed {
+            let now = self.clock.now();
+            self.fleet.finish(self.service, self.route, self.pick, Landing::GivenUp, now);
+        }
+    }
+}
+
+impl<B: Backend, C: Clock, R: Random> Flow<B, C, R> {
+    /// Sends to `pick`. If the request is idempotent and the answer is late while there is time for
+    /// another one, a second server gets it as well; the first answer counts and the other attempt
+    /// is dropped.
+    pub(super) async fn race(
+        self: &Arc<Self>,
+        call: &Call<'_>,
+        service: &name::Service,
+        pick: Pick,
+        trail: &mut Trail,
+    ) -> (Verdict, Pick) {
+        let started = self.clock.now();
+        let first = self.fly(call, service, &pick);
+        let mut first = std::pin::pin!(first);
+        let late = started + pick.expected.mul_f64(LATE_FACTOR);
+        if self.may_hedge(call, trail, late) {
+            tokio::select! {
+                verdict = &mut first => return (verdict, pick.clone()),
+                () = self.clock.sleep_until(late) => {}
+            }
+            if let Some(second) = self.second(call, service, &pick, trail).await {
+                trail.hedged = true;
+                trail.sends += 1;
+                let other = self.fly(call, service, &second);
+                let mut other = std::pin::pin!(other);
+                let (verdict, by_first) = tokio::select! {
+                    verdict = &mut first => (verdict, true),
+                    verdict = &mut other => (verdict, false),
+                };
+                if matches!(&verdict, Verdict::Ran(answer) if answer.status < 500) {
+                    let winner = if by_first { pick.clone() } else { second.clone() };
+                    return (verdict, winner);
+                }
+                trail.doubt |=
+                    !matches!(verdict, Verdict::Shed | Verdict::Misdirected | Verdict::NotSent);
+                trail.tried.push(if by_first {
+                    pick.server.clone()
+                } else {
+                    second.server.clone()
+                });
+                return match by_first {
+                    true => (other.await, second.clone()),
+                    false => (first.await, pick.clone()),
+                };
+            }
+        }
+        let verdict = first.await;
+        (verdict, pick.clone())
+    }
+
+    fn may_hedge(&self, call: &Call<'_>, trail: &Trail, late: Instant) -> bool {
+        let usual = self.fleet.usual(&call.route.name, Duration::ZERO);
+        call.route.idempotent
+            && trail.sends + 1 < call.route.attempts
+            && late + usual < call.received + call.aim()
+    }
+
+    async fn second(
+        self: &Arc<Self>,
+        call: &Call<'_>,
+        service: &name::Service,
+        first: &Pick,
+        trail: &Trail,
+    ) -> Option<Pick> {
+        let mut tried: Asked = trail.tried.clone();
+        tried.push(first.server.clone());
+        let Found::Pick(second) = self.find(call, service, &tried).await else {
+            return None;
+        };
+        if self.take_repeat(service) {
+            self.accounts.lock().counts.attempts += 1;
+            return Some(second);
+        }
+        self.give_back(call, service, &second);
+        None
+    }
+
+    async fn fly(&self, call: &Call<'_>, service: &name::Service, pick: &Pick) -> Verdict {
+        let started = self.clock.now();
+        let flight = Flight {
+            fleet: &self.fleet,
+            clock: &self.clock,
+            service: service.as_str(),
+            route: &call.route.name,
+            pick,
+            landed: false,
+        };
+        let attempt = Attempt {
+            id: call.id,
+            server: &pick.server,
+            address: pick.address,
+            content: call.content,
+            deadline: call.until(),
+        };
+        let verdict = self.backend.send(attempt).await;
+        let now = self.clock.now();
+        flight.land(match &verdict {
+            Verdict::Ran(answer) if answer.status < 500 => Landing::Answered(now.since(started)),
+            Verdict::Ran(_) | Verdict::MayHaveRun(_) => Landing::Fault,
+            Verdict::Shed => Landing::Shed,
+            Verdict::Misdirected | Verdict::NotSent => Landing::Absent,
+        });
+        verdict
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/flow/mod.rs
@@ -0,0 +1,266 @@
+//! The way of a request: find a server, send, and decide what a failure allows.
+//!
+//! A request is repeated only if no server can have run it, or if it is idempotent, and within three
+//! limits: the number of servers of its route, the retry budget of its service, and the time left.
+//! It is refused, and the refusal says that it has not run, only if every attempt proves that.
+//!
+//! An answer goes out as soon as it is final. Under overload that is at once: if even the best of
+//! the servers asked would take longer than the request is worth, the caller is told when to come
+//! back.
+
+mod call;
+mod find;
+mod hedge;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use self::call::Trail;
+use self::find::Found;
+use crate::direct::fleet::Fleet;
+use crate::direct::fleet::Landing;
+use crate::direct::fleet::Pick;
+use crate::direct::peers::Peers;
+use crate::direct::plan::Plan;
+use crate::direct::plan::Route;
+use crate::direct::port::Backend;
+use crate::direct::port::Verdict;
+use crate::direct::probes;
+use crate::direct::retries;
+use crate::lock::Mutex;
+use crate::lock::Rank;
+use crate::name;
+use crate::outcome::Outcome;
+use crate::outcome::Refusal;
+use crate::port::Clock;
+use crate::port::Random;
+
+pub use self::call::Call;
+pub use self::call::Ended;
+
+/// Time before the end of a request's time at which a missing answer is given up, so that the
+/// caller's own answer still arrives in time.
+const END_MARGIN: Duration = Duration::from_millis(8);
+
+/// What the platform and the operators limit, besides the configuration.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Retry budget of a service.
+    pub retry: retries::Limit,
+    /// Factor on the rate that a cold server bears.
+    pub cold_factor: f64,
+    /// Requests a second that a cold server bears beside that.
+    pub cold_slack: f64,
+    /// Probes of a server per second from all entries.
+    pub probe_rate: f64,
+}
+
+/// Numbers of requests that ended in each way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counts {
+    /// The caller got a server's answer.
+    pub answered: u64,
+    /// The request did not run.
+    pub refused: u64,
+    /// The request may have run.
+    pub unknown: u64,
+    /// Attempts at servers.
+    pub attempts: u64,
+    /// Attempts beyond the first of a request.
+    pub repeats: u64,
+    /// Probes of servers.
+    pub probes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Accounts {
+    windows: HashMap<name::Service, retries::Window>,
+    probes: probes::Budget,
+    counts: Counts,
+}
+
+/// Decides on requests.
+#[derive(Debug)]
+pub struct Flow<B, C, R> {
+    /// The servers.
+    pub fleet: Fleet,
+    /// The entries.
+    pub peers: Peers,
+    backend: B,
+    clock: C,
+    random: R,
+    plan: Mutex<Option<Arc<Plan>>>,
+    bounds: Mutex<Bounds>,
+    accounts: Mutex<Accounts>,
+}
+
+impl<B: Backend, C: Clock, R: Random> Flow<B, C, R> {
+    /// Creates the decisions of an entry, without a configuration and without servers.
+    pub fn new(
+        (fleet, peers): (Fleet, Peers),
+        (backend, clock, random): (B, C, R),
+        bounds: Bounds,
+    ) -> Self {
+        Self {
+            fleet,
+            peers,
+            backend,
+            clock,
+            random,
+            plan: Mutex::new(Rank::Intent, None),
+            bounds: Mutex::new(Rank::Intent, bounds),
+            accounts: Mutex::new(Rank::Ledger, Accounts::default()),
+        }
+    }
+
+    /// The clock.
+    pub fn clock(&self) -> &C {
+        &self.clock
+    }
+
+    /// The source of random numbers.
+    pub fn random(&self) -> &R {
+        &self.random
+    }
+
+    /// The configuration in force, if there is one.
+    pub fn plan(&self) -> Option<Arc<Plan>> {
+        self.plan.lock().clone()
+    }
+
+    /// Puts `plan` in force, unless a plan of the same or a higher version is.
+    pub fn set_plan(&self, plan: Plan) -> bool {
+        let mut current = self.plan.lock();
+        if current.as_ref().is_some_and(|old| old.version >= plan.version) {
+            return false;
+        }
+        // Entries that start their splits at the same place would all favour the same part.
+        for route in plan.hosts.iter().flat_map(|host| &host.routes) {
+            let turn = u32::try_from(self.random.below(1 << 32)).unwrap_or(0);
+            route.turn.store(turn, std::sync::atomic::Ordering::Relaxed);
+        }
+        *current = Some(Arc::new(plan));
+        true
+    }
+
+    /// Applies changed bounds.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        *self.bounds.lock() = bounds;
+    }
+
+    /// Numbers of requests so far.
+    pub fn counts(&self) -> Counts {
+        self.accounts.lock().counts
+    }
+
+    /// The route of a request.
+    ///
+    /// # Errors
+    ///
+    /// No configuration is in force, or it has no such route.
+    pub fn route(&self, host: &str, path: &str) -> Result<Arc<Route>, Refusal> {
+        let plan = self.plan().ok_or(Refusal::NotReady)?;
+        plan.route(host, path).cloned().ok_or(Refusal::UnknownService)
+    }
+
+    /// Serves a request. Dropping the future ends the attempt in flight.
+    pub async fn serve(self: &Arc<Self>, call: Call<'_>) -> Ended {
+        let mut trail = Trail::default();
+        let outcome = self.attempts(&call, &mut trail).await;
+        let counts = &mut self.accounts.lock().counts;
+        match &outcome {
+            Outcome::Answered(_) => counts.answered += 1,
+            Outcome::Refused(_) => counts.refused += 1,
+            Outcome::Unknown(_) => counts.unknown += 1,
+        }
+        trail.end(outcome, &self.random)
+    }
+
+    async fn attempts(self: &Arc<Self>, call: &Call<'_>, trail: &mut Trail) -> Outcome {
+        let Some(service) = call.route.next_service() else {
+            return Outcome::Refused(Refusal::NoServer);
+        };
+        self.open_account(service);
+        loop {
+            let pick = match self.find(call, service, &trail.tried).await {
+                Found::Pick(pick) => pick,
+                Found::Nothing(refusal) => return trail.close(refusal),
+            };
+            if !self.charge(call, service, trail) {
+                self.give_back(call, service, &pick);
+                return trail.close(Refusal::Attempts);
+            }
+            let (verdict, pick) = self.race(call, service, pick, trail).await;
+            trail.tried.push(pick.server.clone());
+            trail.note(&pick, &verdict);
+            log::debug!(
+                "event=attempt id={} server={} expected_ms={} report_age_ms={} verdict={}",
+                call.id,
+                pick.server,
+                pick.expected.as_millis(),
+                pick.age.as_millis(),
+                trail.last
+            );
+            match verdict {
+                Verdict::Ran(answer) if answer.status < 500 => return Outcome::Answered(answer),
+                Verdict::Ran(answer) => {
+                    trail.failed = Some(answer);
+                    if !call.route.idempotent {
+                        return trail.close(Refusal::Attempts);
+                    }
+                }
+                Verdict::MayHaveRun(_) => {
+                    trail.doubt = true;
+                    if !call.route.idempotent {
+                        return trail.close(Refusal::Attempts);
+                    }
+                }
+                Verdict::Shed | Verdict::Misdirected => trail.arrivals += 1,
+                Verdict::NotSent => {}
+            }
+            if self.clock.now() >= call.until() {
+                return trail.close(Refusal::Deadline);
+            }
+        }
+    }
+
+    fn open_account(&self, service: &name::Service) {
+        let limit = self.bounds.lock().retry;
+        let now = self.clock.now();
+        let mut accounts = self.accounts.lock();
+        accounts.windows.entry(service.clone()).or_default().request(now, &limit);
+    }
+
+    /// Whether one more attempt is allowed: by the number of servers of the route, and by the
+    /// service's retry budget if an earlier attempt has arrived anywhere.
+    fn charge(&self, call: &Call<'_>, service: &name::Service, trail: &mut Trail) -> bool {
+        if trail.sends >= call.route.attempts.max(1) || trail.refused_sends >= call::MAX_UNSENT {
+            return false;
+        }
+        let repeat = trail.arrived();
+        if repeat && !self.take_repeat(service) {
+            return false;
+        }
+        self.accounts.lock().counts.attempts += 1;
+        true
+    }
+
+    fn take_repeat(&self, service: &name::Service) -> bool {
+        let limit = self.bounds.lock().retry;
+        let now = self.clock.now();
+        let entries = self.peers.count(now);
+        let mut accounts = self.accounts.lock();
+        let taken = accounts.windows.entry(service.clone()).or_default().take(now, &limit, entries);
+        if taken {
+            accounts.counts.repeats += 1;
+        }
+        taken
+    }
+
+    fn give_back(&self, call: &Call<'_>, service: &name::Service, pick: &Pick) {
+        let landing = Landing::GivenUp;
+        let now = self.clock.now();
+        self.fleet.finish(service.as_str(), &call.route.name, pick, landing, now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/peers.rs
@@ -0,0 +1,249 @@
+//! The live entries, without a list of them.
+//!
+//! Each entry counts beats. It sends what it knows of its peers to a few of them a few times a
+//! second, and whoever sees a peer's count grow has a sign of life. An entry that starts knows only
+//! a few seeds, which may be stale; whoever hears of it tells the others.
+//!
+//! An entry that leaves says so and is out of the answers to callers at once. One whose count stands
+//! still is out after [`SILENT_AFTER`], and forgotten after [`FORGET_AFTER`].
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use crate::lock::Mutex;
+use crate::lock::Rank;
+use crate::name;
+use crate::port::Random;
+use crate::time::Instant;
+
+/// Time between two beats.
+pub const BEAT: Duration = Duration::from_millis(300);
+
+/// Peers that each beat is sent to.
+pub const FANOUT: usize = 3;
+
+/// Time without a sign of life after which a peer no longer counts as live. Ten beats, so that a
+/// few lost datagrams on the way make no difference.
+pub const SILENT_AFTER: Duration = Duration::from_millis(3_000);
+
+/// Time without a sign of life after which a peer is forgotten. Until then it is sent a beat now and
+/// then, so that both sides of a healed partition find each other again.
+pub const FORGET_AFTER: Duration = Duration::from_secs(120);
+
+/// Rows in one message; a row takes up to 30 bytes, and a datagram should fit in one packet.
+pub const MAX_ROWS: usize = 32;
+
+/// Beats of which one is also sent to a seed or a silent peer.
+const REVIVE_EVERY: u64 = 4;
+
+/// What is told of an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Address of its VM; all entries use the same ports.
+    pub ip: Ipv4Addr,
+    /// Failure domain.
+    pub domain: name::Domain,
+    /// Tells its processes apart; a later one has a higher number.
+    pub incarnation: u64,
+    /// Beats of the process.
+    pub beat: u64,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
+#[derive(Debug)]
+struct Peer {
+    row: Row,
+    heard: Instant,
+    /// Whether it was live when last looked at, to log changes.
+    live: bool,
+}
+
+/// What changed when a message was taken in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct News {
+    /// An entry was heard of for the first time, or its process is a new one.
+    pub joined: bool,
+}
+
+#[derive(Debug)]
+struct Table {
+    own: Row,
+    peers: Vec<Peer>,
+    seeds: Vec<Ipv4Addr>,
+    paused_until: Instant,
+}
+
+/// The table of entries.
+#[derive(Debug)]
+pub struct Peers {
+    table: Mutex<Table>,
+}
+
+impl Peers {
+    /// Creates a table with the own entry and the seeds.
+    pub fn new(own: Row, seeds: Vec<Ipv4Addr>) -> Self {
+        let table = Table { own, peers: Vec::new(), seeds, paused_until: Instant::default() };
+        Self { table: Mutex::new(Rank::Members, table) }
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&self, seeds: Vec<Ipv4Addr>) {
+        self.table.lock().seeds = seeds;
+    }
+
+    /// The own entry leaves.
+    pub fn leave(&self) {
+        self.table.lock().own.leaving = true;
+    }
+
+    /// Whether the own entry leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.table.lock().own.leaving
+    }
+
+    /// The process stood still. What it missed is no sign that its peers are gone, so none of them
+    /// goes silent before there was time to hear from it.
+    pub fn resume(&self, now: Instant) {
+        self.table.lock().paused_until = now + SILENT_AFTER;
+    }
+
+    /// Counts a beat and says to whom to send the result of [`Peers::rows`].
+    pub fn beat(&self, now: Instant, random: &impl Random) -> Vec<Ipv4Addr> {
+        let mut table = self.table.lock();
+        table.own.beat += 1;
+        table.update(now);
+        let mut live: Vec<Ipv4Addr> = table.live(now).map(|peer| peer.row.ip).collect();
+        let mut targets = Vec::with_capacity(FANOUT + 1);
+        while targets.len() < FANOUT && !live.is_empty() {
+            targets.push(live.swap_remove(pick(random, live.len())));
+        }
+        let revive = table.own.beat.is_multiple_of(REVIVE_EVERY) || targets.len() < FANOUT;
+        if revive && let Some(ip) = table.silent(now, random) {
+            targets.push(ip);
+        }
+        targets
+    }
+
+    /// The seeds, other than the own entry.
+    pub fn seeds(&self) -> Vec<Ipv4Addr> {
+        let table = self.table.lock();
+        table.seeds.iter().copied().filter(|ip| *ip != table.own.ip).collect()
+    }
+
+    /// What to tell a peer: the own row first, then those of the others, the latest signs of life
+    /// first.
+    pub fn rows(&self, now: Instant) -> Vec<Row> {
+        let table = self.table.lock();
+        let mut known: Vec<&Peer> =
+            table.peers.iter().filter(|peer| now.since(peer.heard) < SILENT_AFTER).collect();
+        known.sort_by_key(|peer| std::cmp::Reverse(peer.heard));
+        let others = known.into_iter().map(|peer| peer.row.clone());
+        std::iter::once(table.own.clone()).chain(others).take(MAX_ROWS).collect()
+    }
+
+    /// Takes in what the entry at `from` tells. Its own row counts even with a lower incarnation
+    /// than known, because its wall clock may have been set back before its restart.
+    pub fn hear(&self, from: Ipv4Addr, rows: impl IntoIterator<Item = Row>, now: Instant) -> News {
+        let mut table = self.table.lock();
+        let mut news = News::default();
+        for row in rows {
+            let joined = table.merge(row, from, now);
+            news.joined |= joined;
+        }
+        news
+    }
+
+    /// The number of live entries, the own one included.
+    pub fn count(&self, now: Instant) -> usize {
+        1 + self.table.lock().live(now).count()
+    }
+
+    /// The live entries, the own one included, whether they leave or not.
+    pub fn live(&self, now: Instant) -> Vec<Ipv4Addr> {
+        let table = self.table.lock();
+        std::iter::once(table.own.ip).chain(table.live(now).map(|peer| peer.row.ip)).collect()
+    }
+
+    /// Whether the entry is one of the first `count` live ones for `key`.
+    pub fn is_among(&self, key: &str, count: usize, now: Instant) -> bool {
+        let table = self.table.lock();
+        let others = table.live(now).filter(|peer| !peer.row.leaving).map(|peer| peer.row.ip);
+        super::share::rank(key, table.own.ip, others) < count
+    }
+
+    /// The entries that callers in `domain` may use: those of the same failure domain if there are
+    /// at least `enough`, else all.
+    pub fn offered(&self, domain: &str, enough: usize, now: Instant) -> Vec<Ipv4Addr> {
+        let table = self.table.lock();
+        let own = std::iter::once(&table.own);
+        let rows = own.chain(table.live(now).map(|peer| &peer.row)).filter(|row| !row.leaving);
+        let rows: Vec<&Row> = rows.collect();
+        let near = || rows.iter().filter(|row| row.domain.as_str() == domain);
+        if near().count() >= enough {
+            return near().map(|row| row.ip).collect();
+        }
+        rows.iter().map(|row| row.ip).collect()
+    }
+}
+
+impl Table {
+    fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let paused = now < self.paused_until;
+        self.peers.iter().filter(move |peer| paused || now.since(peer.heard) < SILENT_AFTER)
+    }
+
+    /// Notes which peers went silent or were heard again, and forgets those long gone.
+    fn update(&mut self, now: Instant) {
+        let paused = now < self.paused_until;
+        for peer in &mut self.peers {
+            let live = paused || now.since(peer.heard) < SILENT_AFTER;
+            if live != peer.live {
+                let what = if live { "heard again" } else { "silent" };
+                let age = now.since(peer.heard).as_millis();
+                log::info!("event=peer peer={} state={what:?} last_heard_ms={age}", peer.row.ip);
+            }
+            peer.live = live;
+        }
+        self.peers.retain(|peer| now.since(peer.heard) < FORGET_AFTER);
+    }
+
+    /// A seed that is not known to live, or a silent peer.
+    fn silent(&self, now: Instant, random: &impl Random) -> Option<Ipv4Addr> {
+        let live = |ip: &Ipv4Addr| self.live(now).any(|peer| peer.row.ip == *ip);
+        let known = self.peers.iter().map(|peer| peer.row.ip);
+        let all = self.seeds.iter().copied().chain(known);
+        let silent: Vec<Ipv4Addr> = all.filter(|ip| *ip != self.own.ip && !live(ip)).collect();
+        (!silent.is_empty()).then(|| silent[pick(random, silent.len())])
+    }
+
+    fn merge(&mut self, row: Row, from: Ipv4Addr, now: Instant) -> bool {
+        if row.ip == self.own.ip {
+            // Peers still know the previous process of this VM: the number must be above its own.
+            if row.incarnation > self.own.incarnation {
+                self.own.incarnation = row.incarnation + 1;
+            }
+            return false;
+        }
+        let direct = row.ip == from;
+        let Some(peer) = self.peers.iter_mut().find(|peer| peer.row.ip == row.ip) else {
+            log::info!("event=peer peer={} state=\"joined\" domain={}", row.ip, row.domain);
+            self.peers.push(Peer { row, heard: now, live: true });
+            return true;
+        };
+        let (old, new) = (&peer.row, (row.incarnation, row.beat));
+        let restarted = row.incarnation != old.incarnation;
+        let newer = new > (old.incarnation, old.beat) || (direct && restarted);
+        if !newer {
+            return false;
+        }
+        peer.row = row;
+        peer.heard = now;
+        restarted
+    }
+}
+
+fn pick(random: &impl Random, len: usize) -> usize {
+    let bound = u64::try_from(len).unwrap_or(u64::MAX);
+    usize::try_from(random.below(bound)).unwrap_or(0)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod config;
 pub mod control;
+pub mod direct;
 pub mod event;
 pub mod flow;
 pub mod gate;
--- /dev/null
+++ b/crates/daemon/src/gateway/backend.rs
@@ -0,0 +1,163 @@
+//! Attempts at servers and probes, over pooled connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+
+use crate::clock::Boot;
+use crate::exchange::Client;
+use crate::exchange::Error;
+use crate::headers;
+use jackdawpin_core::direct::fleet::Report;
+use jackdawpin_core::direct::port;
+use jackdawpin_core::direct::port::Attempt;
+use jackdawpin_core::direct::port::Probe;
+use jackdawpin_core::direct::port::Verdict;
+use jackdawpin_core::name;
+use jackdawpin_core::outcome::Answer;
+use jackdawpin_core::port::Clock;
+use jackdawpin_platform::http as wire;
+
+/// Largest answer to a probe in bytes.
+const MAX_PROBE: usize = 16 << 10;
+
+/// Largest answer of a server in bytes.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// Fields of a request that this system sets.
+const SET_FIELDS: [&str; 2] = [wire::TIME_LEFT, wire::TARGET];
+
+/// The servers, as reached from this entry.
+#[derive(Debug)]
+pub struct Servers {
+    client: Arc<Client>,
+}
+
+impl Servers {
+    /// Creates an adapter over `client`.
+    pub fn new(client: Arc<Client>) -> Self {
+        Self { client }
+    }
+}
+
+impl port::Backend for Servers {
+    async fn send(&self, attempt: Attempt<'_>) -> Verdict {
+        let left = attempt.deadline.since(Boot.now());
+        if left.is_zero() {
+            return Verdict::NotSent;
+        }
+        let Some(request) = request(&attempt, left) else {
+            log::error!("event=attempt id={} error=\"request cannot be encoded\"", attempt.id);
+            return Verdict::NotSent;
+        };
+        let belongs = |map: &HeaderMap| field(map, wire::REQUEST_ID) == Some(attempt.id);
+        let address = attempt.address;
+        match self.client.exchange(address, request, left, MAX_ANSWER, belongs).await {
+            Ok(response) if foreign(&attempt, &response) => Verdict::MayHaveRun("foreign_answer"),
+            Ok(response) => verdict(response),
+            Err(err) => {
+                log::debug!(
+                    "event=attempt id={} server={} error={err:?}",
+                    attempt.id,
+                    attempt.server
+                );
+                failure(&err)
+            }
+        }
+    }
+
+    async fn probe(&self, address: SocketAddr, path: &str, timeout: Duration) -> Option<Probe> {
+        let request = Request::get(path)
+            .header(http::header::HOST, address.to_string())
+            .body(Full::default())
+            .ok()?;
+        let exchange = self.client.exchange(address, request, timeout, MAX_PROBE, |_| true);
+        let response = match exchange.await {
+            Ok(response) => response,
+            Err(err) => {
+                log::debug!("event=probe address={address} error={err:?}");
+                return None;
+            }
+        };
+        let map = response.headers();
+        let cold_for = field(map, wire::COLD_FOR).and_then(|text| text.parse().ok()).unwrap_or(0.0);
+        Some(Probe {
+            server: field(map, wire::SERVER).and_then(|text| name::Vm::try_from(text).ok()),
+            healthy: response.status() == StatusCode::OK,
+            report: Report {
+                load: field(map, wire::LOAD).and_then(wire::load),
+                cold_for: Duration::try_from_secs_f64(cold_for / 1e3).unwrap_or_default(),
+            },
+        })
+    }
+}
+
+fn request(attempt: &Attempt<'_>, left: Duration) -> Option<Request<Full<Bytes>>> {
+    let content = attempt.content;
+    let mut request = Request::builder()
+        .method(Method::from_bytes(content.method.as_bytes()).ok()?)
+        .uri(&*content.path)
+        .body(Full::new(content.body.clone()))
+        .ok()?;
+    let fields = content.headers.iter().map(|field| (&*field.name, &field.value[..]));
+    let map = request.headers_mut();
+    headers::extend_except(map, fields, &SET_FIELDS);
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    map.insert(HeaderName::from_static(wire::TIME_LEFT), HeaderValue::from(millis));
+    let target = HeaderValue::from_str(attempt.server.as_str()).ok()?;
+    map.insert(HeaderName::from_static(wire::TARGET), target);
+    Some(request)
+}
+
+/// What a whole answer proves.
+fn verdict(response: Response<Bytes>) -> Verdict {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Verdict::Misdirected;
+    }
+    if not_run(&response) {
+        return Verdict::Shed;
+    }
+    Verdict::Ran(Answer {
+        status: response.status().as_u16(),
+        headers: headers::passed_except(response.headers(), &[]),
+        body: response.into_body(),
+    })
+}
+
+/// Whether the answer is not to be taken for one to the attempt. A refusal may lack the id.
+fn foreign(attempt: &Attempt<'_>, response: &Response<Bytes>) -> bool {
+    match field(response.headers(), wire::REQUEST_ID) {
+        Some(id) => id != attempt.id,
+        None => !not_run(response),
+    }
+}
+
+fn not_run(response: &Response<Bytes>) -> bool {
+    response.headers().contains_key(wire::NOT_RUN)
+        || response.status() == StatusCode::MISDIRECTED_REQUEST
+}
+
+/// What an exchange without a whole answer proves.
+fn failure(err: &Error) -> Verdict {
+    match err {
+        Error::NotSent(_) => Verdict::NotSent,
+        Error::Broken(_) => Verdict::MayHaveRun("connection_broken"),
+        Error::Answer(_) => Verdict::MayHaveRun("answer_cut"),
+        Error::Large(_) => Verdict::MayHaveRun("answer_too_large"),
+        Error::Timeout => Verdict::MayHaveRun("timeout"),
+    }
+}
+
+fn field<'a>(map: &'a HeaderMap, name: &'static str) -> Option<&'a str> {
+    headers::text(map, &HeaderName::from_static(name))
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/control.rs
@@ -0,0 +1,87 @@
+//! The listener for other entries and for monitoring.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use motore::service::Service;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::Flow;
+use super::convert;
+use super::directory::status;
+use super::feeder::Feeder;
+use super::metrics::Metrics;
+use crate::listen::Context;
+use crate::metrics::CONTENT_TYPE as METRICS_TYPE;
+use crate::query;
+use jackdawpin_core::port::Clock;
+use jackdawpin_wire as wire;
+
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
+
+/// The service for entries and monitoring.
+#[derive(Debug)]
+pub(super) struct Control {
+    flow: Arc<Flow>,
+    feeder: Arc<Feeder>,
+    metrics: Arc<Metrics>,
+}
+
+impl Control {
+    pub(super) fn new(flow: Arc<Flow>, feeder: Arc<Feeder>, metrics: Arc<Metrics>) -> Self {
+        Self { flow, feeder, metrics }
+    }
+
+    fn feed(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let since = query::value(request.uri(), "since").and_then(|text| text.parse().ok());
+        let delta = self.feeder.since(since.unwrap_or(0), self.flow.clock().now());
+        match wire::encode(&convert::delta(&delta)) {
+            Ok(body) => typed(body, wire::MEDIA_TYPE),
+            Err(err) => {
+                log::error!("event=feed error=\"{err}\"");
+                status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+
+    fn metrics(&self) -> Response<Full<Bytes>> {
+        match self.metrics.text(&self.flow) {
+            Ok(text) => typed(text.into_bytes(), METRICS_TYPE),
+            Err(err) => {
+                log::error!("event=metrics error=\"{err}\"");
+                status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+}
+
+impl Service<Context, Request<Incoming>> for Control {
+    type Response = Response<Full<Bytes>>;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _: &mut Context,
+        request: Request<Incoming>,
+    ) -> Result<Self::Response, Infallible> {
+        Ok(match request.uri().path() {
+            wire::path::FEED => self.feed(&request),
+            METRICS => self.metrics(),
+            _ => status(StatusCode::NOT_FOUND),
+        })
+    }
+}
+
+fn typed(body: Vec<u8>, media_type: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(media_type));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -0,0 +1,261 @@
+//! Datagrams between entries: signs of life, and changes of the platform's store.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http_body_util::Full;
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+
+use super::Flow;
+use super::convert;
+use super::feeder::Feeder;
+use crate::exchange::Client;
+use jackdawpin_core::direct::peers::BEAT;
+use jackdawpin_core::direct::peers::Row;
+use jackdawpin_core::lock::Mutex;
+use jackdawpin_core::lock::Rank;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::time::Instant;
+use jackdawpin_wire as wire;
+
+/// A pause between two beats from which on the process has stood still.
+const STOOD_STILL: Duration = Duration::from_millis(1_200);
+
+/// Time for the answer of a peer that is asked for changes.
+const FETCH_TIME: Duration = Duration::from_millis(1_000);
+
+/// Largest state of the platform's store that a peer passes on, in bytes.
+const MAX_STATE: usize = 8 << 20;
+
+/// Shortest time between two questions for changes.
+const FETCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// Ports that are the same on all VMs.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Ports {
+    pub(super) datagrams: u16,
+    pub(super) control: u16,
+}
+
+/// The exchange with other entries.
+#[derive(Debug)]
+pub(super) struct Exchange {
+    flow: Arc<Flow>,
+    socket: UdpSocket,
+    client: Arc<Client>,
+    ports: Ports,
+    own: Ipv4Addr,
+    /// The revisions that the last two messages reached. A message starts from the older one, so
+    /// that one that is lost is made up for by the next.
+    passed: Mutex<[u64; 2]>,
+    fetched: Mutex<Option<Instant>>,
+}
+
+impl Exchange {
+    /// Binds the socket of the entry at `own`.
+    ///
+    /// # Errors
+    ///
+    /// The port cannot be bound.
+    pub(super) async fn bind(
+        flow: Arc<Flow>,
+        client: Arc<Client>,
+        own: Ipv4Addr,
+        ports: Ports,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            flow,
+            socket: UdpSocket::bind((own, ports.datagrams)).await?,
+            client,
+            ports,
+            own,
+            passed: Mutex::new(Rank::Connections, [0; 2]),
+            fetched: Mutex::new(Rank::Connections, None),
+        })
+    }
+
+    /// Sends and receives until `cancel`.
+    pub(super) async fn run(self: Arc<Self>, feeder: Arc<Feeder>, cancel: CancellationToken) {
+        self.join().await;
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = self.beat(&feeder) => {}
+            () = self.receive(&feeder) => {}
+        }
+    }
+
+    async fn join(&self) {
+        let message = wire::Datagram::Join(self.members());
+        for seed in self.flow.peers.seeds() {
+            self.send(&message, seed).await;
+        }
+    }
+
+    /// Tells all live entries at once that this one leaves.
+    pub(super) async fn say_leaving(&self) {
+        let message = wire::Datagram::Beat(self.members());
+        for ip in self.flow.peers.live(self.now()) {
+            self.send(&message, ip).await;
+        }
+    }
+
+    /// Passes the latest changes on to all live entries.
+    pub(super) async fn pass_on(&self, feeder: &Feeder) {
+        let now = self.now();
+        let from = {
+            let mut passed = self.passed.lock();
+            let from = passed[0];
+            *passed = [passed[1], feeder.at()];
+            from
+        };
+        let delta = feeder.since(from.max(1), now);
+        let to = delta.to;
+        let mut message = wire::Datagram::Delta(convert::delta(&delta));
+        if !fits(&message) {
+            message = wire::Datagram::Fetch(delta.from, to);
+        }
+        for ip in self.flow.peers.live(now) {
+            self.send(&message, ip).await;
+        }
+    }
+
+    async fn beat(&self, feeder: &Feeder) {
+        let mut last = self.now();
+        loop {
+            tokio::time::sleep(BEAT).await;
+            let now = self.now();
+            if now.since(last) > STOOD_STILL {
+                log::warn!("event=stood_still ms={}", now.since(last).as_millis());
+                self.flow.peers.resume(now);
+                feeder.distrust();
+            }
+            last = now;
+            let targets = self.flow.peers.beat(now, self.flow.random());
+            let message = wire::Datagram::Beat(self.members());
+            for ip in targets {
+                self.send(&message, ip).await;
+            }
+        }
+    }
+
+    async fn receive(self: &Arc<Self>, feeder: &Arc<Feeder>) {
+        let mut buffer = [0; wire::MAX_DATAGRAM + 1];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((len, SocketAddr::V4(from))) => {
+                    match wire::decode::<wire::Datagram>(&buffer[..len]) {
+                        Ok(message) => self.take(message, *from.ip(), feeder).await,
+                        Err(err) => log::warn!("event=datagram from={from} error=\"{err}\""),
+                    }
+                }
+                Ok((_, from)) => log::warn!("event=datagram from={from} error=\"not IPv4\""),
+                // An earlier datagram was refused by its receiver, whose process has ended.
+                Err(err) => log::debug!("event=datagram error=\"{err}\""),
+            }
+        }
+    }
+
+    async fn take(self: &Arc<Self>, message: wire::Datagram, from: Ipv4Addr, feeder: &Arc<Feeder>) {
+        let now = self.now();
+        match message {
+            wire::Datagram::Beat(members) => self.hear(members, from, now),
+            wire::Datagram::Join(members) => {
+                self.hear(members, from, now);
+                self.send(&wire::Datagram::Beat(self.members()), from).await;
+            }
+            wire::Datagram::Delta(delta) => {
+                if !feeder.take(convert::changes(delta), now) {
+                    self.spawn_fetch(from, feeder);
+                }
+            }
+            wire::Datagram::Fetch(_, to) => {
+                if to > feeder.at() {
+                    self.spawn_fetch(from, feeder);
+                }
+            }
+        }
+    }
+
+    fn hear(&self, members: Vec<wire::Member>, from: Ipv4Addr, now: Instant) {
+        let rows = members.into_iter().filter_map(|member| match convert::row(member) {
+            Ok(row) => Some(row),
+            Err(err) => {
+                log::warn!("event=datagram from={from} error=\"{err}\"");
+                None
+            }
+        });
+        let rows: Vec<Row> = rows.collect();
+        self.flow.peers.hear(from, rows, now);
+    }
+
+    /// Asks `peer` for the changes that are missing here.
+    fn spawn_fetch(self: &Arc<Self>, peer: Ipv4Addr, feeder: &Arc<Feeder>) {
+        let now = self.now();
+        {
+            let mut fetched = self.fetched.lock();
+            if fetched.is_some_and(|at| now.since(at) < FETCH_PAUSE) {
+                return;
+            }
+            *fetched = Some(now);
+        }
+        let (exchange, feeder) = (Arc::clone(self), Arc::clone(feeder));
+        tokio::spawn(async move { exchange.fetch(peer, &feeder).await });
+    }
+
+    async fn fetch(&self, peer: Ipv4Addr, feeder: &Feeder) {
+        let address = SocketAddr::from((peer, self.ports.control));
+        let path = format!("{}?since={}", wire::path::FEED, feeder.at());
+        let request = Request::get(path).header(http::header::HOST, address.to_string());
+        let request = match request.body(Full::default()) {
+            Ok(request) => request,
+            Err(err) => return log::error!("event=fetch peer={peer} error=\"{err}\""),
+        };
+        let sent = self.now();
+        let exchange = self.client.exchange(address, request, FETCH_TIME, MAX_STATE, |_| true);
+        let response = match exchange.await {
+            Ok(response) => response,
+            Err(err) => return log::warn!("event=fetch peer={peer} error=\"{err}\""),
+        };
+        match wire::decode::<wire::Delta>(response.body()) {
+            Ok(delta) => {
+                let mut delta = convert::changes(delta);
+                // The peer may have answered right after the question.
+                delta.age += self.now().since(sent);
+                let (from, to) = (delta.from, delta.to);
+                let taken = feeder.take(delta, self.now());
+                log::info!("event=fetch peer={peer} from={from} to={to} taken={taken}");
+            }
+            Err(err) => log::warn!("event=fetch peer={peer} error=\"{err}\""),
+        }
+    }
+
+    fn members(&self) -> Vec<wire::Member> {
+        self.flow.peers.rows(self.now()).iter().map(convert::member).collect()
+    }
+
+    async fn send(&self, message: &wire::Datagram, to: Ipv4Addr) {
+        if to == self.own {
+            return;
+        }
+        let bytes = match wire::encode_short(message) {
+            Ok(bytes) => bytes,
+            Err(err) => return log::error!("event=datagram error=\"{err}\""),
+        };
+        if let Err(err) = self.socket.send_to(&bytes, (to, self.ports.datagrams)).await {
+            log::debug!("event=datagram to={to} error=\"{err}\"");
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.flow.clock().now()
+    }
+}
+
+fn fits(message: &wire::Datagram) -> bool {
+    wire::encode_short(message).is_ok_and(|bytes| bytes.len() <= wire::MAX_DATAGRAM)
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/feeder.rs
@@ -0,0 +1,138 @@
+//! Holds what the platform's store says and puts it in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Flow;
+use jackdawpin_core::direct::feed::Delta;
+use jackdawpin_core::direct::feed::Feed;
+use jackdawpin_core::direct::feed::Item;
+use jackdawpin_core::direct::feed::Taken;
+use jackdawpin_core::direct::fleet;
+use jackdawpin_core::lock::Mutex;
+use jackdawpin_core::lock::Rank;
+use jackdawpin_core::time::Instant;
+use jackdawpin_platform::store;
+use jackdawpin_platform::store::Meaning;
+
+/// Age of the last proof from which on entries that ended may have lapsed because the store was
+/// away.
+const OUTAGE: Duration = Duration::from_millis(2_500);
+
+/// The items of the store, and what they mean for the decisions.
+#[derive(Debug)]
+pub(super) struct Feeder {
+    flow: Arc<Flow>,
+    feed: Mutex<Feed>,
+}
+
+impl Feeder {
+    pub(super) fn new(flow: Arc<Flow>) -> Self {
+        Self { flow, feed: Mutex::new(Rank::Intent, Feed::default()) }
+    }
+
+    /// The revision reached; 0 if nothing was read.
+    pub(super) fn at(&self) -> u64 {
+        self.feed.lock().at()
+    }
+
+    /// Age of the last proof that the items are up to date.
+    pub(super) fn age(&self, now: Instant) -> Option<Duration> {
+        self.feed.lock().age(now)
+    }
+
+    pub(super) fn since(&self, from: u64, now: Instant) -> Delta {
+        self.feed.lock().since(from, now)
+    }
+
+    /// The process stood still, so the last proof is older than it seems.
+    pub(super) fn distrust(&self) {
+        self.feed.lock().distrust();
+    }
+
+    /// Takes in a whole list.
+    pub(super) fn replace(&self, at: u64, items: Vec<Item>, proved: Instant, now: Instant) {
+        let (outage, changed) = {
+            let mut feed = self.feed.lock();
+            let outage = feed.age(now).is_none_or(|age| age > OUTAGE);
+            (outage, feed.replace(at, items, proved))
+        };
+        self.apply(&changed, outage, now);
+    }
+
+    /// Takes in changes from the store.
+    pub(super) fn advance(&self, to: u64, items: Vec<Item>, proved: Instant, now: Instant) {
+        let (outage, changed) = {
+            let mut feed = self.feed.lock();
+            let outage = feed.age(now).is_none_or(|age| age > OUTAGE);
+            (outage, feed.advance(to, items, proved))
+        };
+        self.apply(&changed, outage, now);
+    }
+
+    /// Takes in what a peer passes on; false if earlier changes are missing.
+    pub(super) fn take(&self, delta: Delta, now: Instant) -> bool {
+        let (outage, taken) = {
+            let mut feed = self.feed.lock();
+            let outage = feed.age(now).is_none_or(|age| age > OUTAGE);
+            (outage, feed.take(delta, now))
+        };
+        match taken {
+            Taken::Changed(changed) => {
+                self.apply(&changed, outage, now);
+                true
+            }
+            Taken::Gap => false,
+        }
+    }
+
+    fn apply(&self, changed: &[Item], outage: bool, now: Instant) {
+        for item in changed {
+            match store::meaning(item) {
+                Ok(meaning) => self.put_in_force(meaning, item.revision, outage, now),
+                Err(err) => {
+                    log::warn!(
+                        "event=store_item key={} revision={} error=\"{err}\"",
+                        item.key,
+                        item.revision
+                    );
+                    if let Some(server) = store::server_of(item) {
+                        self.flow.fleet.lapse(server, fleet::LAPSE, now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn put_in_force(&self, meaning: Meaning<'_>, revision: u64, outage: bool, now: Instant) {
+        match meaning {
+            Meaning::Server(server) => {
+                log::debug!(
+                    "event=server server={} service={} address={} draining={} revision={revision}",
+                    server.name,
+                    server.service,
+                    server.address,
+                    server.draining
+                );
+                self.flow.fleet.update(server, now);
+            }
+            Meaning::ServerGone(server) => {
+                log::info!("event=server server={server} state=gone revision={revision}");
+                let keep = if outage { fleet::LAPSE_AFTER_OUTAGE } else { fleet::LAPSE };
+                self.flow.fleet.lapse(server, keep, now);
+            }
+            Meaning::Config(plan) => {
+                let version = plan.version;
+                let accepted = self.flow.set_plan(plan);
+                log::info!(
+                    "event=config version={version:08x} revision={revision} accepted={accepted}"
+                );
+            }
+            Meaning::Out(domain, out) => {
+                log::info!("event=domain domain={domain} out={out} revision={revision}");
+                self.flow.fleet.set_out(&domain, out);
+            }
+            Meaning::Nothing => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/front.rs
@@ -0,0 +1,175 @@
+//! Serves callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use http::request::Parts;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use motore::service::Service;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::Flow;
+use super::journal::Journal;
+use crate::headers;
+use crate::listen::Budget;
+use crate::listen::Context;
+use crate::listen::body;
+use jackdawpin_core::direct::flow::Call;
+use jackdawpin_core::direct::flow::Ended;
+use jackdawpin_core::outcome::Answer;
+use jackdawpin_core::outcome::Doubt;
+use jackdawpin_core::outcome::Outcome;
+use jackdawpin_core::outcome::Refusal;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::request::Content;
+use jackdawpin_platform::http as wire;
+
+/// Largest body of a request before a configuration is in force, in bytes.
+const DEFAULT_BODY: usize = 1 << 20;
+
+/// Time for the body of a request to arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// When a caller may come back to an entry that has no configuration yet.
+const NOT_READY: Duration = Duration::from_millis(200);
+
+/// The service for callers.
+#[derive(Debug)]
+pub(super) struct Front {
+    flow: Arc<Flow>,
+    budget: Budget,
+    journal: Arc<Journal>,
+}
+
+impl Front {
+    pub(super) fn new(flow: Arc<Flow>, budget: Budget, journal: Arc<Journal>) -> Self {
+        Self { flow, budget, journal }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let received = self.flow.clock().now();
+        let (parts, body) = request.into_parts();
+        let limit = self.flow.plan().map_or(DEFAULT_BODY, |plan| plan.limits.body_bytes);
+        // The body is read even for a request that is refused: a connection that is closed with
+        // unread bytes is reset, and the caller could lose the answer.
+        let body = match body::read(body, limit, BODY_TIME, &self.budget).await {
+            Ok(body) => body,
+            Err(err) => return self.unread(&parts, &err),
+        };
+        let id = text(&parts, wire::REQUEST_ID).unwrap_or_default();
+        let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+        let route = match self.flow.route(host.unwrap_or_default(), parts.uri.path()) {
+            Ok(route) => route,
+            Err(refusal) => {
+                self.journal.refused(id, refusal);
+                return refused(refusal, Some(NOT_READY));
+            }
+        };
+        let patience = text(&parts, wire::TIME_LEFT).and_then(|text| text.parse().ok());
+        let content = content(&parts, body);
+        let call = Call {
+            id,
+            route: &route,
+            received,
+            patience: patience.map(Duration::from_millis),
+            content: &content,
+        };
+        let entered = self.journal.enter();
+        let ended = self.flow.serve(call).await;
+        let took = self.flow.clock().now().since(received);
+        entered.end(id, &route.name, took, &ended);
+        answer(ended)
+    }
+
+    fn unread(&self, parts: &Parts, err: &body::Error) -> Response<Full<Bytes>> {
+        let id = text(parts, wire::REQUEST_ID).unwrap_or_default();
+        log::warn!("event=request id={id} outcome=refused reason=\"{err}\"");
+        plain(match err {
+            body::Error::Large(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            body::Error::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
+            body::Error::Budget => StatusCode::SERVICE_UNAVAILABLE,
+            body::Error::Broken => StatusCode::BAD_REQUEST,
+        })
+    }
+}
+
+impl Service<Context, Request<Incoming>> for Front {
+    type Response = Response<Full<Bytes>>;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _: &mut Context,
+        request: Request<Incoming>,
+    ) -> Result<Self::Response, Infallible> {
+        let mut response = self.serve(request).await;
+        if self.flow.peers.is_leaving() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(http::header::CONNECTION, close);
+        }
+        Ok(response)
+    }
+}
+
+fn text<'a>(parts: &'a Parts, name: &'static str) -> Option<&'a str> {
+    headers::text(&parts.headers, &HeaderName::from_static(name))
+}
+
+fn content(parts: &Parts, body: Bytes) -> Content {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Content {
+        method: parts.method.as_str().into(),
+        path: path.into(),
+        headers: headers::passed_except(&parts.headers, &[]),
+        body,
+    }
+}
+
+fn answer(ended: Ended) -> Response<Full<Bytes>> {
+    match ended.outcome {
+        Outcome::Answered(answer) => passed(answer),
+        Outcome::Refused(refusal) => refused(refusal, ended.come_back),
+        Outcome::Unknown(Doubt::Timeout) => plain(StatusCode::GATEWAY_TIMEOUT),
+        Outcome::Unknown(_) => plain(StatusCode::BAD_GATEWAY),
+    }
+}
+
+fn passed(answer: Answer) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(answer.body));
+    match StatusCode::from_u16(answer.status) {
+        Ok(status) => *response.status_mut() = status,
+        Err(err) => {
+            log::error!("event=answer status={} error=\"{err}\"", answer.status);
+            return plain(StatusCode::BAD_GATEWAY);
+        }
+    }
+    let fields = answer.headers.iter().map(|field| (&*field.name, &field.value[..]));
+    headers::extend_except(response.headers_mut(), fields, &[]);
+    response
+}
+
+/// The answer to a request that did not run.
+fn refused(refusal: Refusal, come_back: Option<Duration>) -> Response<Full<Bytes>> {
+    if refusal == Refusal::UnknownService {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = come_back.map(|wait| format!("{:.3}", wait.as_secs_f64()));
+    if let Some(Ok(value)) = seconds.map(|text| HeaderValue::from_str(&text)) {
+        response.headers_mut().insert(http::header::RETRY_AFTER, value);
+    }
+    response
+}
+
+fn plain(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,33 @@
+//! The entry on the users' platform.
+//!
+//! Adapters around [`Flow`](jackdawpin_core::direct::flow::Flow), which decides: the listener for
+//! callers ([`front`]), the answers to callers that ask for addresses and to the platform's question
+//! whether the entry takes requests ([`directory`]), the connections to servers ([`backend`]), the
+//! reading of the platform's store ([`store`]), the exchange between entries ([`exchange`],
+//! [`control`]) and the settings file ([`reload`]). All names of the platform come from
+//! `jackdawpin-platform`.
+
+mod backend;
+mod control;
+mod convert;
+mod directory;
+mod error;
+mod exchange;
+mod feeder;
+mod front;
+mod journal;
+mod metrics;
+mod reload;
+mod run;
+mod stop;
+mod store;
+
+pub use self::backend::Servers;
+pub use self::error::Error;
+pub use self::run::run;
+
+use crate::clock::Boot;
+use crate::clock::Random;
+
+/// The decisions with the adapters of this program.
+pub type Flow = jackdawpin_core::direct::flow::Flow<Servers, Boot, Random>;
--- /dev/null
+++ b/crates/daemon/src/gateway/store.rs
@@ -0,0 +1,247 @@
+//! Reads the platform's store: all entries when they start, then only those that are to read.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use quick_error::quick_error;
+use tokio_util::sync::CancellationToken;
+
+use super::Flow;
+use super::exchange::Exchange;
+use super::feeder::Feeder;
+use super::metrics::Metrics;
+use crate::exchange;
+use crate::exchange::Client;
+use jackdawpin_core::direct::feed::READERS;
+use jackdawpin_core::direct::feed::TRUST;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::port::Random;
+use jackdawpin_core::time::Instant;
+use jackdawpin_platform::store;
+use jackdawpin_platform::store::Changes;
+use jackdawpin_platform::store::Page;
+
+/// How long a watch waits for changes. Its answer proves that the items are up to date, so it must
+/// come well before the proof is no longer trusted.
+const WATCH: Duration = Duration::from_millis(900);
+
+/// Time for an answer beyond the wait. The store usually takes a few milliseconds.
+const ANSWER_TIME: Duration = Duration::from_millis(450);
+
+/// Time for the answer to a list; a slow store may take a good part of a second.
+const LIST_TIME: Duration = Duration::from_secs(2);
+
+/// Pause after changes, so that the next answer takes several together.
+const REST: Duration = Duration::from_millis(150);
+
+/// Wait after the first failed call, and the longest one; it doubles between them.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+const MAX_BACKOFF: Duration = Duration::from_millis(800);
+
+/// How often an entry that does not read looks whether it should.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// How long an entry of a system that starts for the first time waits for its peers, before it
+/// decides whether it is one of the readers.
+const GATHER: Duration = Duration::from_millis(700);
+
+/// How long an entry that is not a reader then waits for what the readers pass on.
+const FIRST_PASS: Duration = Duration::from_millis(800);
+
+/// Largest answer of the store in bytes: 500 items of 1 MB in all, as base64 and JSON.
+const MAX_ANSWER: usize = 4 << 20;
+
+quick_error! {
+    /// Why a call to the store brought nothing.
+    #[derive(Debug)]
+    pub enum Error {
+        /// There is no whole answer.
+        Exchange(err: exchange::Error) {
+            from()
+            source(err)
+            display("{}", err)
+        }
+        /// The answer cannot be read.
+        Answer(err: jackdawpin_platform::Error) {
+            from()
+            source(err)
+            display("{}", err)
+        }
+        /// The store refused the call.
+        Status(status: StatusCode) {
+            display("status {}", status)
+        }
+        /// The request could not be built.
+        Request(err: http::Error) {
+            from()
+            source(err)
+            display("{}", err)
+        }
+    }
+}
+
+/// Reads the store.
+#[derive(Debug)]
+pub(super) struct Reader {
+    flow: Arc<Flow>,
+    feeder: Arc<Feeder>,
+    exchange: Arc<Exchange>,
+    metrics: Arc<Metrics>,
+    client: Arc<Client>,
+    address: SocketAddr,
+    reading: bool,
+    backoff: Duration,
+}
+
+impl Reader {
+    pub(super) fn new(
+        (flow, feeder, exchange): (Arc<Flow>, Arc<Feeder>, Arc<Exchange>),
+        metrics: Arc<Metrics>,
+        client: Arc<Client>,
+        address: SocketAddr,
+    ) -> Self {
+        Self {
+            flow,
+            feeder,
+            exchange,
+            metrics,
+            client,
+            address,
+            reading: false,
+            backoff: FIRST_BACKOFF,
+        }
+    }
+
+    /// Reads until `cancel`. If the whole system starts, most entries get the first items from the
+    /// few that read; if only this process starts, callers wait for it and it reads at once.
+    pub(super) async fn run(mut self, first_start: bool, cancel: CancellationToken) {
+        let work = async {
+            if first_start {
+                self.gather().await;
+            }
+            loop {
+                self.step().await;
+            }
+        };
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = work => {}
+        }
+    }
+
+    async fn gather(&self) {
+        tokio::time::sleep(GATHER).await;
+        let end = self.now() + FIRST_PASS;
+        while !self.is_reader() && self.feeder.at() == 0 && self.now() < end {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    async fn step(&mut self) {
+        let now = self.now();
+        let age = self.feeder.age(now);
+        let needed = self.is_reader() || age.is_none_or(|age| age >= TRUST);
+        if needed != self.reading {
+            let age_ms = age.map(|age| age.as_millis());
+            log::info!(
+                "event=reader reads={needed} rank_says={} proof_age_ms={age_ms:?}",
+                self.is_reader()
+            );
+            self.reading = needed;
+        }
+        if !needed {
+            tokio::time::sleep(LOOK).await;
+            return;
+        }
+        let read = if self.feeder.at() == 0 { self.list().await } else { self.watch().await };
+        match read {
+            Ok(()) => {
+                if self.backoff != FIRST_BACKOFF {
+                    log::info!("event=store state=regained");
+                }
+                self.backoff = FIRST_BACKOFF;
+            }
+            Err(err) => self.failed(&err).await,
+        }
+    }
+
+    async fn failed(&mut self, err: &Error) {
+        self.metrics.store_failures.inc();
+        let age = self.feeder.age(self.now()).map(|age| age.as_millis());
+        log::warn!("event=store state=failed error=\"{err}\" proof_age_ms={age:?}");
+        let half = u64::try_from(self.backoff.as_micros() / 2).unwrap_or(0);
+        let jitter = Duration::from_micros(self.flow.random().below(half));
+        tokio::time::sleep(self.backoff / 2 + jitter).await;
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+    }
+
+    async fn list(&self) -> Result<(), Error> {
+        let mut items = Vec::new();
+        let mut first: Option<(u64, Instant)> = None;
+        loop {
+            let after =
+                items.last().map(|item: &jackdawpin_core::direct::feed::Item| item.key.clone());
+            let (status, body) = self.get(&store::list(after.as_deref()), LIST_TIME).await?;
+            if status != StatusCode::OK {
+                return Err(Error::Status(status));
+            }
+            let page = Page::read(&body)?;
+            let (at, proved) = *first.get_or_insert((page.at, self.now()));
+            let more = page.more && !page.items.is_empty();
+            items.extend(page.items);
+            if !more {
+                log::info!("event=store state=listed items={} revision={at}", items.len());
+                self.feeder.replace(at, items, proved, self.now());
+                self.exchange.pass_on(&self.feeder).await;
+                return Ok(());
+            }
+        }
+    }
+
+    async fn watch(&self) -> Result<(), Error> {
+        let after = self.feeder.at();
+        let sent = self.now();
+        let (status, body) = self.get(&store::watch(after, WATCH), WATCH + ANSWER_TIME).await?;
+        if status.as_u16() == store::HISTORY_GONE {
+            log::info!("event=store state=history_gone revision={after}");
+            return self.list().await;
+        }
+        if status != StatusCode::OK {
+            return Err(Error::Status(status));
+        }
+        let changes = Changes::read(&body)?;
+        let now = self.now();
+        // The answer is at most this old, even if this process stood still before it was read.
+        let proved = now.min(sent + WATCH);
+        let quiet = changes.items.is_empty();
+        self.feeder.advance(changes.at, changes.items, proved, now);
+        self.exchange.pass_on(&self.feeder).await;
+        if !quiet {
+            tokio::time::sleep(REST).await;
+        }
+        Ok(())
+    }
+
+    async fn get(&self, path: &str, time: Duration) -> Result<(StatusCode, Bytes), Error> {
+        self.metrics.store_calls.inc();
+        let request = Request::get(path)
+            .header(http::header::HOST, self.address.to_string())
+            .body(Full::default())?;
+        let response =
+            self.client.exchange(self.address, request, time, MAX_ANSWER, |_| true).await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    fn is_reader(&self) -> bool {
+        self.flow.peers.is_among("feed", READERS, self.now())
+    }
+
+    fn now(&self) -> Instant {
+        self.flow.clock().now()
+    }
+}
--- a/crates/daemon/src/headers/mod.rs
+++ b/crates/daemon/src/headers/mod.rs
@@ -34,14 +34,11 @@
 /// Load report of a server, in the JSON form of the Open Request Cost Aggregation standard.
 pub const LOAD_REPORT: HeaderName = HeaderName::from_static("endpoint-load-metrics");
 
-/// Fields that concern a single connection (RFC 9110, section 7.6.1), the message's framing, or are
-/// set by this system.
-const NOT_PASSED: [&str; 20] = [
+/// Fields that concern a single connection (RFC 9110, section 7.6.1) or the message's framing.
+const CONNECTION_FIELDS: [&str; 11] = [
     "connection",
     "content-length",
-    "endpoint-load-metrics",
     "expect",
-    "host",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
@@ -50,6 +47,12 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
+];
+
+/// Fields that this system sets.
+const OWN_FIELDS: [&str; 9] = [
+    "endpoint-load-metrics",
+    "host",
     "x-attempt",
     "x-idempotent",
     "x-not-run",
@@ -59,8 +62,17 @@
     "x-request-timeout-ms",
 ];
 
+fn is_passed(name: &HeaderName, own: &[&str]) -> bool {
+    CONNECTION_FIELDS.binary_search(&name.as_str()).is_err() && !own.contains(&name.as_str())
+}
+
 /// The fields of `map` that are passed through. Fields that `connection` names are left out, too.
 pub fn passed(map: &HeaderMap) -> Vec<Header> {
+    passed_except(map, &OWN_FIELDS)
+}
+
+/// The fields of `map` other than those in `own` and those that concern a single connection.
+pub fn passed_except(map: &HeaderMap, own: &[&str]) -> Vec<Header> {
     let named = |name: &HeaderName| {
         map.get_all(http::header::CONNECTION)
             .iter()
@@ -69,7 +81,7 @@
             .any(|token| token.trim().eq_ignore_ascii_case(name.as_str()))
     };
     map.iter()
-        .filter(|(name, _)| NOT_PASSED.binary_search(&name.as_str()).is_err() && !named(name))
+        .filter(|(name, _)| is_passed(name, own) && !named(name))
         .map(|(name, value)| Header {
             name: name.as_str().into(),
             value: Bytes::copy_from_slice(value.as_bytes()),
@@ -80,11 +92,20 @@
 /// Adds fields to `map`. Fields that are not valid are left out; a peer of another version could
 /// send some.
 pub fn extend<'a>(map: &mut HeaderMap, fields: impl IntoIterator<Item = (&'a str, &'a [u8])>) {
+    extend_except(map, fields, &OWN_FIELDS);
+}
+
+/// Adds fields to `map`, other than those in `own` and those that are not valid.
+pub fn extend_except<'a>(
+    map: &mut HeaderMap,
+    fields: impl IntoIterator<Item = (&'a str, &'a [u8])>,
+    own: &[&str],
+) {
     for (name, value) in fields {
         let name = HeaderName::from_bytes(name.as_bytes());
         let value = HeaderValue::from_bytes(value);
         if let (Ok(name), Ok(value)) = (name, value)
-            && NOT_PASSED.binary_search(&name.as_str()).is_err()
+            && is_passed(&name, own)
         {
             map.append(name, value);
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod exchange;
 pub mod front;
+pub mod gateway;
 pub mod headers;
 pub mod listen;
 pub mod logs;
--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -1,7 +1,7 @@
-//! Log lines on stderr.
+//! Log lines on stdout.
 //!
 //! Messages come through the `log` crate; fern filters them by level, and [`line`] encodes them as
-//! text or JSON. A [`Writer`] thread writes the lines. A reader of stderr that is slow or gone must
+//! text or JSON. A [`Writer`] thread writes the lines. A reader of stdout that is slow or gone must
 //! not hold up requests, so lines go to the thread through a bounded queue: when it is full, lines
 //! are dropped and their number is logged.
 
@@ -53,14 +53,14 @@
     let note = move |lines| {
         let mut record = Record::builder();
         record.level(Level::Warn).target(module_path!());
-        let message = format_args!("{lines} log lines were dropped: stderr is read too slowly");
+        let message = format_args!("{lines} log lines were dropped: stdout is read too slowly");
         let record = record.args(message).build();
         Line { time: SystemTime::now(), vm: &noted, record: &record }.encode(log.format)
     };
-    let writer = Writer::start(io::stderr(), note)?;
+    let writer = Writer::start(io::stdout(), note)?;
     let queue = writer.queue();
     let vm = vm.clone();
-    // fern's own output to stderr panics when stderr is closed, hence the function.
+    // fern's own output to stdout panics when stdout is closed, hence the function.
     let output = Output::call(move |record| {
         let time = SystemTime::now();
         queue.push(Line { time, vm: &vm, record }.encode(log.format));
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,10 +11,16 @@
 use jackdawpin_daemon::settings::Help;
 use jackdawpin_daemon::settings::Settings;
 
+/// First argument that runs the entry on the users' platform.
+const GATEWAY: &str = "gateway";
+
 fn main() -> ExitCode {
     // Arguments that are not UTF-8 are kept with replacement characters and fail the checks.
     let arguments: Vec<String> =
         std::env::args_os().skip(1).map(|a| a.to_string_lossy().into_owned()).collect();
+    if arguments.first().is_some_and(|first| first == GATEWAY) {
+        return jackdawpin_daemon::gateway::run(|name| std::env::var_os(name));
+    }
     let variable =
         |name: &str| std::env::var_os(name).map(|value| value.to_string_lossy().into_owned());
     match Command::read(&arguments, variable) {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -34,6 +34,16 @@
     Ok(rmp_serde::to_vec_named(message)?)
 }
 
+/// Encodes a message without field names, for datagrams. A reader needs the same fields in the same
+/// order, or fewer of the last ones if these have defaults.
+///
+/// # Errors
+///
+/// As for [`encode`].
+pub fn encode_short<T: Serialize>(message: &T) -> Result<Vec<u8>, Error> {
+    Ok(rmp_serde::to_vec(message)?)
+}
+
 /// Decodes a message that takes up all of `bytes`.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/wire/src/datagram.rs
@@ -0,0 +1,56 @@
+use serde::Deserialize;
+use serde::Serialize;
+use serde_bytes::ByteBuf;
+
+/// What an entry tells of itself or of another entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// IPv4 address of its VM.
+    pub ip: u32,
+    /// Failure domain.
+    pub domain: String,
+    /// Tells its processes apart; a later one has a higher number.
+    pub incarnation: u64,
+    /// Beats of the process.
+    pub beat: u64,
+    /// Whether its planned stop has begun.
+    pub leaving: bool,
+}
+
+/// An item of the platform's store, or the mark of one that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Key.
+    pub key: String,
+    /// Revision of the last change.
+    pub revision: u64,
+    /// Value; `None` if the item ended.
+    pub value: Option<ByteBuf>,
+}
+
+/// Changes of the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Revision that the changes start from; 0 if they are the whole state.
+    pub from: u64,
+    /// Revision that they reach.
+    pub to: u64,
+    /// Age in milliseconds of the proof that `to` is the store's revision.
+    pub age_ms: u64,
+    /// The changes.
+    pub items: Vec<Item>,
+}
+
+/// A message between entries that may get lost.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// Signs of life; the first member is the sender.
+    Beat(Vec<Member>),
+    /// Signs of life from an entry that has just started and wants some in return.
+    Join(Vec<Member>),
+    /// Changes of the platform's store.
+    Delta(Delta),
+    /// Changes from the first to the second revision, to be fetched at
+    /// [`path::FEED`](crate::path::FEED) because they do not fit in a datagram.
+    Fetch(u64, u64),
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod codec;
+mod datagram;
 mod peer;
 
 pub use self::admin::Entry;
@@ -21,6 +22,11 @@
 pub use self::codec::Error;
 pub use self::codec::decode;
 pub use self::codec::encode;
+pub use self::codec::encode_short;
+pub use self::datagram::Datagram;
+pub use self::datagram::Delta;
+pub use self::datagram::Item;
+pub use self::datagram::Member;
 pub use self::peer::Capacity;
 pub use self::peer::Claim;
 pub use self::peer::Document;
@@ -42,6 +48,9 @@
 /// Largest message other than a forwarded request, in bytes: a document of 1 MiB and its envelope.
 pub const MAX_MESSAGE: usize = (1 << 20) + (64 << 10);
 
+/// Largest datagram in bytes; it fits in one packet of an Ethernet.
+pub const MAX_DATAGRAM: usize = 1_400;
+
 /// Largest size of a forwarded request or its reply without the body, in bytes.
 pub const MAX_ENVELOPE: usize = 256 << 10;
 
@@ -59,6 +68,8 @@
     pub const CONFIG: &str = "/peer/v1/document/config";
     /// Answers with the VM list in force as a [`Document`](crate::Document).
     pub const VMS: &str = "/peer/v1/document/vms";
+    /// Answers with the changes of the platform's store as a [`Delta`](crate::Delta); query `since`, a revision.
+    pub const FEED: &str = "/peer/v1/feed";
     /// Answers with a [`Status`](crate::Status).
     pub const STATUS: &str = "/admin/v1/status";
     /// Answers with an [`Explanation`](crate::Explanation); query `service` and `server`.
