Read the store with one entry, and let proofs pass without the items

Cause: a change that did not fit in a datagram was announced without its proof, so followers that already had it took the reader for dead; all of them then read at the same moment, and each stopped after one read. Ruled out: refusals by the store (only one of the two readers was refused). Conclusion: one reader is enough, since take-over by turns stays within 2 s.

--- a/crates/core/src/direct/feed.rs
+++ b/crates/core/src/direct/feed.rs
@@ -1,12 +1,14 @@
 //! What the platform's store says, and how entries pass it on to each other.
 //!
-//! Two entries, chosen by rank among the live ones, read the store and wait for changes; the others
-//! get the changes from them. Each call to the store costs, so the number of readers does not grow
-//! with the fleet.
+//! One entry, the first by rank among the live ones, reads the store and waits for changes; the
+//! others get the changes from it. Each call to the store costs, so the number of calls does not
+//! grow with the fleet.
 //!
 //! What counts is the last moment at which the items held were proved to be up to date: the store
-//! answered a read then, or a peer passed such a proof on. An entry whose proof has aged beyond
-//! [`TRUST`] reads the store itself, whether its readers are gone, cut off or misled.
+//! answered a read then, or a peer passed such a proof on. An entry that has heard no proof from a
+//! peer for its [`patience`] reads the store itself, whether the reader is gone, cut off or misled,
+//! and goes on until it hears one. The entries lose patience one after the other, so usually the
+//! second by rank takes over and the others hear its proofs.
 //!
 //! Items carry the revision of their last change. An ended item is kept as a mark with its revision,
 //! so that an older message cannot bring it back, and so that a peer that fell behind can be told.
@@ -19,16 +21,36 @@
 
 use crate::time::Instant;
 
-/// Entries that read the store.
-pub const READERS: usize = 2;
+/// Entries that read the store whatever they hear.
+pub const READERS: usize = 1;
 
-/// Age of the proof from which on an entry reads the store itself. Changes must be in force within
-/// 2 s; this leaves time for one read, and is above the time between two proofs of a reader.
-pub const TRUST: Duration = Duration::from_millis(1_350);
+/// How long a watch of the store waits for changes. Its answer proves that the items are up to date.
+pub const WATCH: Duration = Duration::from_millis(1_000);
+
+/// Time without a peer's proof after which the second entry by rank reads. It is above [`WATCH`] by
+/// the time that a slow store takes to answer.
+const TRUST: Duration = Duration::from_millis(1_300);
+
+/// Time between two entries that read the store because there is no proof, so that the first of
+/// them makes up for missing readers and the others get its proof.
+const TURN: Duration = Duration::from_millis(60);
+
+/// Turns after which all other entries read at once. Changes must be in force within 2 s, which
+/// leaves the last ones 280 ms for a read.
+const TURNS: u32 = 7;
 
 /// Marks of ended items that are kept.
 const MAX_MARKS: usize = 512;
 
+/// Time without a peer's proof after which the entry of `rank` among the live ones reads the store:
+/// none if it is the reader, else by turns.
+pub fn patience(rank: usize) -> Duration {
+    match rank.checked_sub(READERS) {
+        None => Duration::ZERO,
+        Some(turn) => TRUST + TURN * u32::try_from(turn).unwrap_or(TURNS).min(TURNS),
+    }
+}
+
 /// An item of the store, or the mark of one that ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -68,6 +90,8 @@
     items: BTreeMap<Arc<str>, Item>,
     at: u64,
     proved: Option<Instant>,
+    /// The last proof that came from a peer.
+    heard: Option<Instant>,
     /// Changes before this revision are no longer all known.
     floor: u64,
 }
@@ -83,6 +107,11 @@
         self.proved.map(|at| now.since(at))
     }
 
+    /// Age of the last proof that came from a peer; `None` if there is none.
+    pub fn peer_age(&self, now: Instant) -> Option<Duration> {
+        self.heard.map(|at| now.since(at))
+    }
+
     /// Takes in changes that follow the revision reached. `proved` is when they were up to date.
     pub fn advance(&mut self, to: u64, items: Vec<Item>, proved: Instant) -> Vec<Item> {
         let changed: Vec<Item> = items.into_iter().filter(|item| self.put(item)).collect();
@@ -118,11 +147,15 @@
     /// The process stood still: what arrived meanwhile may be older than it says.
     pub fn distrust(&mut self) {
         self.proved = None;
+        self.heard = None;
     }
 
     /// Takes in what a peer passes on.
     pub fn take(&mut self, delta: Delta, now: Instant) -> Taken {
         let proved = now.before(delta.age);
+        if delta.to >= self.at && delta.from <= self.at {
+            self.hear(proved);
+        }
         if delta.to == 0 || delta.to < self.at {
             // The peer is behind; its proof says nothing about the later changes known here.
             return Taken::Changed(Vec::new());
@@ -136,6 +169,19 @@
         Taken::Changed(self.advance(delta.to, delta.items, proved))
     }
 
+    /// A peer proved `age` ago that `to` is the store's revision. False if later changes than those
+    /// held here lead to it, so that they must be fetched.
+    pub fn confirm(&mut self, to: u64, age: Duration, now: Instant) -> bool {
+        if to > self.at {
+            return false;
+        }
+        if to == self.at {
+            self.hear(now.before(age));
+            self.reach(to, now.before(age));
+        }
+        true
+    }
+
     /// The changes since revision `from`, or the whole state if they are not all known.
     pub fn since(&self, from: u64, now: Instant) -> Delta {
         let age = self.age(now).unwrap_or(Duration::MAX);
@@ -148,6 +194,12 @@
         Delta { from: if whole { 0 } else { from }, to: self.at, age, items }
     }
 
+    fn hear(&mut self, proved: Instant) {
+        if self.heard.is_none_or(|at| proved > at) {
+            self.heard = Some(proved);
+        }
+    }
+
     fn put(&mut self, item: &Item) -> bool {
         let known = self.items.get(&item.key);
         if known.is_some_and(|known| known.revision >= item.revision) {
--- a/crates/core/src/direct/flow/find.rs
+++ b/crates/core/src/direct/flow/find.rs
@@ -192,7 +192,7 @@
 
     /// Whether this entry is one of the few that send to `server` while it is cold.
     fn owns(&self, server: &name::Vm, now: Instant) -> bool {
-        self.peers.is_among(server.as_str(), cold::OWNERS, now)
+        self.peers.rank(server.as_str(), now) < cold::OWNERS
     }
 }
 
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -165,11 +165,11 @@
         std::iter::once(table.own.ip).chain(table.live(now).map(|peer| peer.row.ip)).collect()
     }
 
-    /// Whether the entry is one of the first `count` live ones for `key`.
-    pub fn is_among(&self, key: &str, count: usize, now: Instant) -> bool {
+    /// The place of the own entry among the live ones for `key`, from 0.
+    pub fn rank(&self, key: &str, now: Instant) -> usize {
         let table = self.table.lock();
         let others = table.live(now).filter(|peer| !peer.row.leaving).map(|peer| peer.row.ip);
-        super::share::rank(key, table.own.ip, others) < count
+        super::share::rank(key, table.own.ip, others)
     }
 
     /// The entries that callers in `domain` may use: those of the same failure domain if there are
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -114,10 +114,11 @@
             from
         };
         let delta = feeder.since(from.max(1), now);
-        let to = delta.to;
-        let mut message = wire::Datagram::Delta(convert::delta(&delta));
+        let delta = convert::delta(&delta);
+        let ahead = wire::Ahead { to: delta.to, age_ms: delta.age_ms };
+        let mut message = wire::Datagram::Delta(delta);
         if !fits(&message) {
-            message = wire::Datagram::Fetch(delta.from, to);
+            message = wire::Datagram::Ahead(ahead);
         }
         for ip in self.flow.peers.live(now) {
             self.send(&message, ip).await;
@@ -173,8 +174,8 @@
                     self.spawn_fetch(from, feeder);
                 }
             }
-            wire::Datagram::Fetch(_, to) => {
-                if to > feeder.at() {
+            wire::Datagram::Ahead(ahead) => {
+                if !feeder.confirm(ahead.to, Duration::from_millis(ahead.age_ms), now) {
                     self.spawn_fetch(from, feeder);
                 }
             }
--- a/crates/daemon/src/gateway/feeder.rs
+++ b/crates/daemon/src/gateway/feeder.rs
@@ -41,6 +41,11 @@
         self.feed.lock().age(now)
     }
 
+    /// Age of the last proof that came from a peer.
+    pub(super) fn peer_age(&self, now: Instant) -> Option<Duration> {
+        self.feed.lock().peer_age(now)
+    }
+
     pub(super) fn since(&self, from: u64, now: Instant) -> Delta {
         self.feed.lock().since(from, now)
     }
@@ -70,6 +75,11 @@
         self.apply(&changed, outage, now);
     }
 
+    /// Takes in a peer's proof; false if changes are missing here.
+    pub(super) fn confirm(&self, to: u64, age: Duration, now: Instant) -> bool {
+        self.feed.lock().confirm(to, age, now)
+    }
+
     /// Takes in what a peer passes on; false if earlier changes are missing.
     pub(super) fn take(&self, delta: Delta, now: Instant) -> bool {
         let (outage, taken) = {
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -15,10 +15,12 @@
 use super::exchange::Exchange;
 use super::feeder::Feeder;
 use super::metrics::Metrics;
+use crate::clock::Boot;
 use crate::exchange;
 use crate::exchange::Client;
-use jackdawpin_core::direct::feed::READERS;
-use jackdawpin_core::direct::feed::TRUST;
+use jackdawpin_core::direct::feed;
+use jackdawpin_core::direct::feed::Item;
+use jackdawpin_core::direct::feed::WATCH;
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Random;
 use jackdawpin_core::time::Instant;
@@ -26,10 +28,6 @@
 use jackdawpin_platform::store::Changes;
 use jackdawpin_platform::store::Page;
 
-/// How long a watch waits for changes. Its answer proves that the items are up to date, so it must
-/// come well before the proof is no longer trusted.
-const WATCH: Duration = Duration::from_millis(900);
-
 /// Time for an answer beyond the wait. The store usually takes a few milliseconds.
 const ANSWER_TIME: Duration = Duration::from_millis(450);
 
@@ -94,6 +92,7 @@
     metrics: Arc<Metrics>,
     client: Arc<Client>,
     address: SocketAddr,
+    started: Instant,
     reading: bool,
     backoff: Duration,
 }
@@ -112,6 +111,7 @@
             metrics,
             client,
             address,
+            started: Boot.now(),
             reading: false,
             backoff: FIRST_BACKOFF,
         }
@@ -137,7 +137,7 @@
     async fn gather(&self) {
         tokio::time::sleep(GATHER).await;
         let end = self.now() + FIRST_PASS;
-        while !self.is_reader() && self.feeder.at() == 0 && self.now() < end {
+        while self.rank() >= feed::READERS && self.feeder.at() == 0 && self.now() < end {
             tokio::time::sleep(LOOK).await;
         }
     }
@@ -145,17 +145,21 @@
     async fn step(&mut self) {
         let now = self.now();
         let age = self.feeder.age(now);
-        let needed = self.is_reader() || age.is_none_or(|age| age >= TRUST);
+        let rank = self.rank();
+        let silence = self.feeder.peer_age(now).unwrap_or(Duration::MAX);
+        let silence = silence.min(now.since(self.started));
+        let left = match age {
+            None => Duration::ZERO,
+            Some(_) => feed::patience(rank).saturating_sub(silence),
+        };
+        let needed = left.is_zero();
         if needed != self.reading {
             let age_ms = age.map(|age| age.as_millis());
-            log::info!(
-                "event=reader reads={needed} rank_says={} proof_age_ms={age_ms:?}",
-                self.is_reader()
-            );
+            log::info!("event=reader reads={needed} rank={rank} proof_age_ms={age_ms:?}");
             self.reading = needed;
         }
         if !needed {
-            tokio::time::sleep(LOOK).await;
+            tokio::time::sleep(left.min(LOOK)).await;
             return;
         }
         let read = if self.feeder.at() == 0 { self.list().await } else { self.watch().await };
@@ -184,8 +188,7 @@
         let mut items = Vec::new();
         let mut first: Option<(u64, Instant)> = None;
         loop {
-            let after =
-                items.last().map(|item: &jackdawpin_core::direct::feed::Item| item.key.clone());
+            let after = items.last().map(|item: &Item| item.key.clone());
             let (status, body) = self.get(&store::list(after.as_deref()), LIST_TIME).await?;
             if status != StatusCode::OK {
                 return Err(Error::Status(status));
@@ -223,6 +226,8 @@
         self.exchange.pass_on(&self.feeder).await;
         if !quiet {
             tokio::time::sleep(REST).await;
+            // Datagrams may get lost, and the next proof would come too late for some changes.
+            self.exchange.pass_on(&self.feeder).await;
         }
         Ok(())
     }
@@ -237,8 +242,14 @@
         Ok((response.status(), response.into_body()))
     }
 
-    fn is_reader(&self) -> bool {
-        self.flow.peers.is_among("feed", READERS, self.now())
+    /// The place of this entry among those that read. Until it has heard from its peers it would
+    /// take itself for the first, so it counts as a late one.
+    fn rank(&self) -> usize {
+        let now = self.now();
+        if now.since(self.started) < GATHER {
+            return usize::MAX;
+        }
+        self.flow.peers.rank("feed", now)
     }
 
     fn now(&self) -> Instant {
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -41,6 +41,15 @@
     pub items: Vec<Item>,
 }
 
+/// What changes lead to, without them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ahead {
+    /// Revision that the changes reach.
+    pub to: u64,
+    /// Age in milliseconds of the proof that `to` is the store's revision.
+    pub age_ms: u64,
+}
+
 /// A message between entries that may get lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -50,7 +59,7 @@
     Join(Vec<Member>),
     /// Changes of the platform's store.
     Delta(Delta),
-    /// Changes from the first to the second revision, to be fetched at
-    /// [`path::FEED`](crate::path::FEED) because they do not fit in a datagram.
-    Fetch(u64, u64),
+    /// Changes that do not fit in a datagram and are to be fetched at
+    /// [`path::FEED`](crate::path::FEED).
+    Ahead(Ahead),
 }
