--- a/crates/core/src/direct/feed.rs
+++ b/crates/core/src/direct/feed.rs
@@ -54,16 +54,6 @@
     }
 }
 
-/// Entries that fetch large changes from the reader, and from which the others fetch them.
-const HELPERS: usize = 16;
-
-/// From whom the entry of `rank` fetches changes that do not fit in datagrams: the position of that
-/// entry in the order of ranks, or `None` for the one that announced them. Small links would carry
-/// the same changes to a whole fleet for seconds.
-pub fn helper(rank: usize) -> Option<usize> {
-    (rank > HELPERS).then(|| 1 + rank % HELPERS)
-}
-
 /// Time without a peer's proof after which the entry of `rank` among the live ones reads the store:
 /// none if it is the reader, else by turns.
 pub fn patience(rank: usize) -> Duration {
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -41,6 +41,10 @@
 /// the same few peers.
 const MIXED: Duration = Duration::from_millis(2_000);
 
+/// Peers of a failure domain that pass messages on within it. Each message gets there twice, so that
+/// one lost datagram or dead relay makes no difference.
+const RELAYS: usize = 2;
+
 /// Beats of which one is also sent to a seed or a silent peer.
 const REVIVE_EVERY: u64 = 4;
 
@@ -183,11 +187,31 @@
         super::share::rank(key, table.own.ip, others)
     }
 
-    /// The live entry at `position` in the order for `key`, from 0.
-    pub fn at(&self, key: &str, position: usize, now: Instant) -> Option<Ipv4Addr> {
-        let mut live = self.live(now);
-        live.sort_by_key(|ip| std::cmp::Reverse(super::share::score(key, *ip)));
-        live.get(position).copied()
+    /// The live peers of the own failure domain.
+    pub fn near(&self, now: Instant) -> Vec<Ipv4Addr> {
+        let table = self.table.lock();
+        let near = table.live(now).filter(|peer| peer.row.domain == table.own.domain);
+        near.map(|peer| peer.row.ip).collect()
+    }
+
+    /// The first live peers for `key` of each other failure domain, which pass messages on to the
+    /// others there: bytes between failure domains cost, and the sender's link may be small.
+    pub fn relays(&self, key: &str, now: Instant) -> Vec<Ipv4Addr> {
+        let table = self.table.lock();
+        let mut far: Vec<&Row> = table
+            .live(now)
+            .map(|peer| &peer.row)
+            .filter(|row| row.domain != table.own.domain && !row.leaving)
+            .collect();
+        far.sort_by_key(|row| std::cmp::Reverse(super::share::score(key, row.ip)));
+        let mut relays: Vec<&Row> = Vec::new();
+        for row in far {
+            let taken = relays.iter().filter(|relay| relay.domain == row.domain).count();
+            if taken < RELAYS {
+                relays.push(row);
+            }
+        }
+        relays.into_iter().map(|row| row.ip).collect()
     }
 
     /// The entries that callers in `domain` may use: those of the same failure domain if there are
--- a/crates/core/tests/direct_feed.rs
+++ b/crates/core/tests/direct_feed.rs
@@ -1,4 +1,5 @@
 //! What the store says, and how it is passed on.
+#![allow(clippy::unwrap_used)]
 
 mod direct_support;
 
@@ -181,11 +182,7 @@
     assert_eq!(parts.len(), 5);
     for part in &parts[..4] {
         assert!(matches!(follower.take(part.clone(), at(30)), Taken::Changed(_)));
-        assert_eq!(
-            follower.peer_age(at(30)).unwrap_or(ms(999)) > ms(0),
-            true,
-            "not up to date yet"
-        );
+        assert!(follower.peer_age(at(30)).is_none_or(|age| age > ms(0)), "not up to date yet");
     }
     follower.take(parts[4].clone(), at(30));
     assert_eq!((follower.at(), follower.peer_age(at(30))), (60, Some(ms(0))));
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -1,4 +1,5 @@
 //! The table of servers and the choice among them.
+#![allow(clippy::unwrap_used)]
 
 mod direct_support;
 
--- a/crates/core/tests/direct_flow.rs
+++ b/crates/core/tests/direct_flow.rs
@@ -1,4 +1,5 @@
 //! The way of a request, with servers in memory and paused time.
+#![allow(clippy::unwrap_used)]
 
 mod direct_support;
 
--- a/crates/core/tests/direct_peers.rs
+++ b/crates/core/tests/direct_peers.rs
@@ -1,4 +1,5 @@
 //! The live entries.
+#![allow(clippy::unwrap_used)]
 
 mod direct_support;
 
@@ -34,7 +35,7 @@
 impl Mesh {
     /// `count` entries that know only the first one, which may be down.
     fn new(count: u8, seed: u64, loss_percent: u64) -> Self {
-        let domain = |number: u8| if number % 2 == 0 { "a" } else { "b" };
+        let domain = |number: u8| if number.is_multiple_of(2) { "a" } else { "b" };
         let entry = |number| Some(Peers::new(row(number, domain(number)), vec![ip(0), ip(1)]));
         Self {
             entries: (0..count).map(entry).collect(),
@@ -198,3 +199,18 @@
     entry.hear(ip(3), [Row { beat: 8, ..row(2, "a") }, row(3, "a")], at(1_010));
     assert!(!entry.offered("a", 9, at(1_020)).contains(&ip(2)));
 }
+
+/// Guards against a failure domain that news reach through a single entry, or that gets them once
+/// for each of its entries.
+#[test]
+fn relays() {
+    let entry = Peers::new(row(1, "a"), Vec::new());
+    for (number, domain) in [(2, "a"), (3, "b"), (4, "b"), (5, "b"), (6, "c")] {
+        entry.hear(ip(number), [row(number, domain)], at(1_000));
+    }
+    entry.hear(ip(7), [Row { leaving: true, ..row(7, "c") }], at(1_000));
+    assert_eq!(entry.near(at(1_100)), [ip(2)]);
+    let relays = entry.relays("key", at(1_100));
+    assert_eq!(relays.len(), 3, "{relays:?}");
+    assert!(relays.contains(&ip(6)) && !relays.contains(&ip(7)));
+}
--- a/crates/core/tests/direct_plan.rs
+++ b/crates/core/tests/direct_plan.rs
@@ -1,4 +1,5 @@
 //! Routes and splits.
+#![allow(clippy::unwrap_used)]
 
 mod direct_support;
 
--- a/crates/core/tests/direct_shares.rs
+++ b/crates/core/tests/direct_shares.rs
@@ -1,5 +1,6 @@
 //! Limits that entries share without a vote: cold servers, the retry budget, the probes and the
 //! reader of the store.
+#![allow(clippy::unwrap_used)]
 
 mod direct_support;
 
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests of direct choice share: names, a clock that follows the paused time of the test, a
 //! source of random numbers with a seed, and servers in memory.
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+#![allow(clippy::unwrap_used, reason = "only tests use this module")]
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -17,7 +17,6 @@
 use super::convert;
 use super::feeder::Feeder;
 use crate::exchange::Client;
-use jackdawpin_core::direct::feed;
 use jackdawpin_core::direct::feed::READER;
 use jackdawpin_core::direct::peers::BEAT;
 use jackdawpin_core::lock::Mutex;
@@ -36,11 +35,13 @@
 /// Largest state of the platform's store that a peer passes on, in bytes.
 const MAX_STATE: usize = 8 << 20;
 
-/// Wait before changes are fetched from an entry that must fetch them first.
-const HELPER_TIME: Duration = Duration::from_millis(150);
+/// Wait before changes are fetched from an entry that may have to fetch them first, and the span over
+/// which the questions to it are spread.
+const FETCH_WAIT: Duration = Duration::from_millis(120);
+const FETCH_SPREAD: Duration = Duration::from_millis(150);
 
-/// Span over which the questions to such an entry are spread.
-const HELPER_SPREAD: Duration = Duration::from_millis(150);
+/// Datagrams that changes are split into at most; more of them would hold up the proof.
+const MAX_PARTS: usize = 6;
 
 /// Bytes of items in one datagram; the rest is for their framing.
 const MAX_ITEMS: usize = 1_250;
@@ -115,27 +116,32 @@
         }
     }
 
-    /// Passes the latest changes on to all live entries.
+    /// Passes the latest changes on to all live entries, to those of other failure domains through
+    /// a few relays there.
     pub(super) async fn pass_on(&self, feeder: &Feeder) {
         let now = self.now();
+        let at = feeder.at();
         let from = {
             let mut passed = self.passed.lock();
             let from = passed[0];
-            *passed = [passed[1], feeder.at()];
+            *passed = [passed[1], at];
             from
         };
         let delta = feeder.since(from.max(1), now);
         let ahead = wire::Ahead { to: delta.to, age_ms: convert::millis(delta.age) };
-        let (parts, whole) = delta.split(MAX_ITEMS, convert::size);
-        let mut messages: Vec<wire::Datagram> =
-            parts.iter().map(|part| wire::Datagram::Delta(convert::delta(part))).collect();
+        let (mut parts, mut whole) = delta.split(MAX_ITEMS, convert::size);
+        if parts.len() > MAX_PARTS {
+            (parts, whole) = (Vec::new(), false);
+        }
+        let mut news: Vec<wire::News> =
+            parts.iter().map(|part| wire::News::Delta(convert::delta(part))).collect();
         if !whole {
-            messages.push(wire::Datagram::Ahead(ahead));
+            news.push(wire::News::Ahead(ahead));
         }
-        for ip in self.flow.peers.live(now) {
-            for message in &messages {
-                self.send(message, ip).await;
-            }
+        let (near, relays) = (self.flow.peers.near(now), self.flow.peers.relays(READER, now));
+        for news in news {
+            self.send_all(&wire::Datagram::Relay(news.clone()), &relays).await;
+            self.send_all(&wire::Datagram::News(news), &near).await;
         }
     }
 
@@ -183,39 +189,48 @@
                     self.send(&self.own_beat(), from).await;
                 }
             }
-            wire::Datagram::Delta(delta) => {
-                if !feeder.take(convert::changes(delta), now) {
-                    self.spawn_fetch(from, feeder);
-                }
+            wire::Datagram::News(news) => {
+                let spread = u64::try_from(FETCH_SPREAD.as_micros()).unwrap_or(0);
+                let spread = Duration::from_micros(self.flow.random().below(spread));
+                self.take_news(news, from, FETCH_WAIT + spread, feeder);
             }
-            wire::Datagram::Ahead(ahead) => {
-                if !feeder.confirm(ahead.to, Duration::from_millis(ahead.age_ms), now) {
-                    self.spawn_fetch(from, feeder);
-                }
+            wire::Datagram::Relay(news) => {
+                let near = self.flow.peers.near(now);
+                self.send_all(&wire::Datagram::News(news.clone()), &near).await;
+                self.take_news(news, from, Duration::ZERO, feeder);
             }
         }
     }
 
+    /// Takes news in. What is missing here is fetched from the sender after `wait`.
+    fn take_news(
+        self: &Arc<Self>,
+        news: wire::News,
+        from: Ipv4Addr,
+        wait: Duration,
+        feeder: &Arc<Feeder>,
+    ) {
+        let now = self.now();
+        let complete = match news {
+            wire::News::Delta(delta) => feeder.take(convert::changes(delta), now),
+            wire::News::Ahead(ahead) => {
+                feeder.confirm(ahead.to, Duration::from_millis(ahead.age_ms), now)
+            }
+        };
+        if !complete {
+            self.spawn_fetch(from, wait, feeder);
+        }
+    }
+
     /// Fetches the changes that are missing here and that `peer` has, unless that is under way.
-    fn spawn_fetch(self: &Arc<Self>, peer: Ipv4Addr, feeder: &Arc<Feeder>) {
+    fn spawn_fetch(self: &Arc<Self>, peer: Ipv4Addr, wait: Duration, feeder: &Arc<Feeder>) {
         if self.fetching.swap(true, Ordering::AcqRel) {
             return;
         }
         let (exchange, feeder) = (Arc::clone(self), Arc::clone(feeder));
         tokio::spawn(async move {
-            let before = feeder.at();
-            let now = exchange.now();
-            let rank = exchange.flow.peers.rank(READER, now);
-            let helper = feed::helper(rank).and_then(|at| exchange.flow.peers.at(READER, at, now));
-            if let Some(helper) = helper {
-                let spread = u64::try_from(HELPER_SPREAD.as_micros()).unwrap_or(0);
-                let spread = Duration::from_micros(exchange.flow.random().below(spread));
-                tokio::time::sleep(HELPER_TIME + spread).await;
-                exchange.fetch(helper, &feeder).await;
-            }
-            if feeder.at() == before {
-                exchange.fetch(peer, &feeder).await;
-            }
+            tokio::time::sleep(wait).await;
+            exchange.fetch(peer, &feeder).await;
             exchange.fetching.store(false, Ordering::Release);
         });
     }
@@ -252,6 +267,12 @@
         wire::Datagram::Beat(convert::beat(&rows))
     }
 
+    async fn send_all(&self, message: &wire::Datagram, to: &[Ipv4Addr]) {
+        for ip in to {
+            self.send(message, *ip).await;
+        }
+    }
+
     async fn send(&self, message: &wire::Datagram, to: Ipv4Addr) {
         if to == self.own {
             return;
--- a/crates/daemon/src/gateway/stop.rs
+++ b/crates/daemon/src/gateway/stop.rs
@@ -13,6 +13,10 @@
 /// Callers may keep an answer with this entry's address three times as long as it says.
 const TTL_FACTOR: u32 = 3;
 
+/// Time for the last requests to end after the listener is closed. The operators' routes keep
+/// requests waiting for less.
+const LAST_REQUESTS: Duration = Duration::from_secs(2);
+
 /// Time before the stop limit at which the process ends, whatever is still in flight.
 const END_MARGIN: Duration = Duration::from_millis(250);
 
@@ -32,7 +36,7 @@
         self.flow.peers.leave();
         self.exchange.say_leaving().await;
         let end = self.limit.saturating_sub(END_MARGIN);
-        let stay = (TTL * TTL_FACTOR).min(end / 2);
+        let stay = (TTL * TTL_FACTOR).min(end.saturating_sub(LAST_REQUESTS));
         log::info!("event=stop state=leaving stay_ms={}", stay.as_millis());
         tokio::time::sleep(stay).await;
         self.callers_stop.cancel();
--- a/crates/testkit/src/fleet/process.rs
+++ b/crates/testkit/src/fleet/process.rs
@@ -36,7 +36,7 @@
 }
 
 impl Process {
-    /// Starts a program. Its standard error is appended to `log`, and its standard output is discarded.
+    /// Starts a program. Its output, normal and of errors, is appended to `log`.
     ///
     /// # Errors
     ///
@@ -46,14 +46,31 @@
         program: &Path,
         arguments: &[String],
         log: &Path,
+    ) -> Result<Self, Error> {
+        Self::start_with(name, program, arguments, &[], log)
+    }
+
+    /// As [`Process::start`], with environment variables.
+    ///
+    /// # Errors
+    ///
+    /// The log cannot be opened, or the program not started.
+    pub fn start_with(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        variables: &[(&str, &str)],
+        log: &Path,
     ) -> Result<Self, Error> {
         let opened = File::options().create(true).append(true).open(log);
         let file = opened.context(format!("opening {}", log.display()))?;
+        let errors = file.try_clone().context(format!("opening {}", log.display()))?;
         let started = Command::new(program)
             .args(arguments)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(file)
+            .stdout(file)
+            .stderr(errors)
             .spawn();
         let child = started.context(format!("starting {}", program.display()))?;
         Ok(Self { name: name.to_owned(), child, log: log.to_owned() })
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -59,14 +59,23 @@
     pub age_ms: u64,
 }
 
+/// News of the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// Changes.
+    Delta(Delta),
+    /// Changes that do not fit in datagrams and are to be fetched at
+    /// [`path::FEED`](crate::path::FEED).
+    Ahead(Ahead),
+}
+
 /// A message between entries that may get lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
     /// Signs of life.
     Beat(Beat),
-    /// Changes of the platform's store.
-    Delta(Delta),
-    /// Changes that do not fit in a datagram and are to be fetched at
-    /// [`path::FEED`](crate::path::FEED).
-    Ahead(Ahead),
+    /// News for the receiver.
+    News(News),
+    /// News for the receiver and all entries of its failure domain, to which it passes them on.
+    Relay(News),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,6 +29,7 @@
 pub use self::datagram::Delta;
 pub use self::datagram::Item;
 pub use self::datagram::Member;
+pub use self::datagram::News;
 pub use self::peer::Capacity;
 pub use self::peer::Claim;
 pub use self::peer::Document;
