--- a/crates/core/src/direct/flow/hedge.rs
+++ b/crates/core/src/direct/flow/hedge.rs
@@ -19,8 +19,12 @@
 use crate::port::Random;
 use crate::time::Instant;
 
-/// Factor on the expected time after which a second attempt is worth its load.
-const LATE_FACTOR: f64 = 1.7;
+/// Factor on the expected time after which a second attempt is worth its load if it can still be
+/// answered within the aim.
+const LATE_FACTOR: f64 = 1.6;
+
+/// The same if it can only save the request from ending without an answer.
+const LOST_FACTOR: f64 = 2.5;
 
 /// A request in flight; one that is dropped without an answer was given up.
 struct Flight<'a, C: Clock> {
@@ -62,8 +66,7 @@
         let started = self.clock.now();
         let first = self.fly(call, service, &pick);
         let mut first = std::pin::pin!(first);
-        let late = started + pick.expected.mul_f64(LATE_FACTOR);
-        if self.may_hedge(call, trail, late) {
+        if let Some(late) = self.hedge_at(call, trail, &pick, started) {
             tokio::select! {
                 verdict = &mut first => return (verdict, pick.clone()),
                 () = self.clock.sleep_until(late) => {}
@@ -98,11 +101,24 @@
         (verdict, pick.clone())
     }
 
-    fn may_hedge(&self, call: &Call<'_>, trail: &Trail, late: Instant) -> bool {
+    /// When a second attempt is worth its load, if ever.
+    fn hedge_at(
+        &self,
+        call: &Call<'_>,
+        trail: &Trail,
+        pick: &Pick,
+        started: Instant,
+    ) -> Option<Instant> {
+        if !call.route.idempotent || trail.sends + 1 >= call.route.attempts {
+            return None;
+        }
         let usual = self.fleet.usual(&call.route.name, Duration::ZERO);
-        call.route.idempotent
-            && trail.sends + 1 < call.route.attempts
-            && late + usual < call.received + call.aim()
+        let late = started + pick.expected.mul_f64(LATE_FACTOR);
+        if late + usual < call.received + call.aim() {
+            return Some(late);
+        }
+        let lost = started + pick.expected.mul_f64(LOST_FACTOR);
+        (lost + usual < call.until()).then_some(lost)
     }
 
     async fn second(
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -23,7 +23,7 @@
 
 /// How long callers may keep an answer. Some keep it three times as long, which must end before a
 /// planned stop does.
-pub(super) const TTL: Duration = Duration::from_millis(1_200);
+pub(super) const TTL: Duration = Duration::from_millis(1_100);
 
 /// Entries of the caller's own failure domain that are enough for it: one may fail unnoticed.
 const ENOUGH: usize = 2;
--- a/crates/daemon/src/gateway/stop.rs
+++ b/crates/daemon/src/gateway/stop.rs
@@ -17,8 +17,9 @@
 /// requests waiting for less.
 const LAST_REQUESTS: Duration = Duration::from_secs(2);
 
-/// Time before the stop limit at which the process ends, whatever is still in flight.
-const END_MARGIN: Duration = Duration::from_millis(250);
+/// Time before the stop limit at which the process ends, whatever is still in flight. The last log
+/// lines and the end of the process itself take their time on a small VM.
+const END_MARGIN: Duration = Duration::from_millis(600);
 
 /// What a planned stop ends.
 pub(super) struct Stop {
