--- a/crates/core/src/direct/flow/mod.rs
+++ b/crates/core/src/direct/flow/mod.rs
@@ -35,6 +35,7 @@
 use crate::outcome::Refusal;
 use crate::port::Clock;
 use crate::port::Random;
+use crate::time::Instant;
 
 pub use self::call::Call;
 pub use self::call::Ended;
@@ -43,6 +44,10 @@
 /// caller's own answer still arrives in time.
 const END_MARGIN: Duration = Duration::from_millis(8);
 
+/// Time without contact after which an entry refuses new work: it cannot know which failure domains
+/// are out of service and which servers have left.
+const FENCE_AFTER: Duration = Duration::from_secs(5);
+
 /// What the platform and the operators limit, besides the configuration.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -91,6 +96,8 @@
     clock: C,
     random: R,
     plan: Mutex<Option<Arc<Plan>>>,
+    /// When the state of the platform's store was last proved to be known here.
+    proved: Mutex<Instant>,
     bounds: Mutex<Bounds>,
     accounts: Mutex<Accounts>,
 }
@@ -102,6 +109,7 @@
         (backend, clock, random): (B, C, R),
         bounds: Bounds,
     ) -> Self {
+        let started = clock.now();
         Self {
             fleet,
             peers,
@@ -109,6 +117,7 @@
             clock,
             random,
             plan: Mutex::new(Rank::Intent, None),
+            proved: Mutex::new(Rank::Intent, started),
             bounds: Mutex::new(Rank::Intent, bounds),
             accounts: Mutex::new(Rank::Ledger, Accounts::default()),
         }
@@ -144,6 +153,19 @@
         true
     }
 
+    /// Notes that the state of the platform's store at `at` is known here.
+    pub fn note_proof(&self, at: Instant) {
+        let mut proved = self.proved.lock();
+        *proved = at.max(*proved);
+    }
+
+    /// Whether this entry is cut off from the platform's store and from all its peers. With either of
+    /// them it knows, or can tell from the other's silence, what is in force.
+    pub fn is_fenced(&self, now: Instant) -> bool {
+        let proved = *self.proved.lock();
+        now.since(proved) > FENCE_AFTER && self.peers.is_alone(now)
+    }
+
     /// Applies changed bounds.
     pub fn set_bounds(&self, bounds: Bounds) {
         *self.bounds.lock() = bounds;
@@ -158,8 +180,11 @@
     ///
     /// # Errors
     ///
-    /// No configuration is in force, or it has no such route.
+    /// No configuration is in force, or it has no such route, or this entry is fenced.
     pub fn route(&self, host: &str, path: &str) -> Result<Arc<Route>, Refusal> {
+        if self.is_fenced(self.clock.now()) {
+            return Err(Refusal::Fenced);
+        }
         let plan = self.plan().ok_or(Refusal::NotReady)?;
         plan.route(host, path).cloned().ok_or(Refusal::UnknownService)
     }
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -84,6 +84,8 @@
     peers: Vec<Peer>,
     seeds: Vec<Ipv4Addr>,
     paused_until: Instant,
+    /// Whether any peer was ever heard.
+    met: bool,
 }
 
 /// The table of entries.
@@ -95,7 +97,8 @@
 impl Peers {
     /// Creates a table with the own entry and the seeds.
     pub fn new(own: Row, seeds: Vec<Ipv4Addr>) -> Self {
-        let table = Table { own, peers: Vec::new(), seeds, paused_until: Instant::default() };
+        let table =
+            Table { own, peers: Vec::new(), seeds, paused_until: Instant::default(), met: false };
         Self { table: Mutex::new(Rank::Members, table) }
     }
 
@@ -174,6 +177,12 @@
         1 + self.table.lock().live(now).count()
     }
 
+    /// Whether all peers are silent that were heard before.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        let table = self.table.lock();
+        table.met && table.live(now).next().is_none()
+    }
+
     /// The live entries, the own one included, whether they leave or not.
     pub fn live(&self, now: Instant) -> Vec<Ipv4Addr> {
         let table = self.table.lock();
@@ -285,6 +294,7 @@
             }
             return false;
         }
+        self.met = true;
         let direct = row.ip == from;
         let Some(peer) = self.peers.iter_mut().find(|peer| peer.row.ip == row.ip) else {
             log::info!("event=peer peer={} state=\"joined\" domain={}", row.ip, row.domain);
--- a/crates/core/tests/direct_feed.rs
+++ b/crates/core/tests/direct_feed.rs
@@ -12,8 +12,8 @@
 use proptest::prelude::proptest;
 use proptest::prop_assert_eq;
 
-use direct_support::at;
-use direct_support::ms;
+use crate::direct_support::at;
+use crate::direct_support::ms;
 use jackdawpin_core::direct::feed::Delta;
 use jackdawpin_core::direct::feed::Feed;
 use jackdawpin_core::direct::feed::Item;
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -7,16 +7,16 @@
 
 use rstest::rstest;
 
-use direct_support::SERVICE;
-use direct_support::Seeded;
-use direct_support::at;
-use direct_support::cold;
-use direct_support::domain;
-use direct_support::idle;
-use direct_support::loaded;
-use direct_support::ms;
-use direct_support::server;
-use direct_support::vm;
+use crate::direct_support::SERVICE;
+use crate::direct_support::Seeded;
+use crate::direct_support::at;
+use crate::direct_support::cold;
+use crate::direct_support::domain;
+use crate::direct_support::idle;
+use crate::direct_support::loaded;
+use crate::direct_support::ms;
+use crate::direct_support::server;
+use crate::direct_support::vm;
 use jackdawpin_core::direct::fleet::Asked;
 use jackdawpin_core::direct::fleet::Choice;
 use jackdawpin_core::direct::fleet::Fleet;
--- a/crates/core/tests/direct_flow.rs
+++ b/crates/core/tests/direct_flow.rs
@@ -8,20 +8,21 @@
 
 use rstest::rstest;
 
-use direct_support::Doubles;
-use direct_support::Manner;
-use direct_support::Paused;
-use direct_support::TestFlow;
-use direct_support::cold;
-use direct_support::content;
-use direct_support::domain;
-use direct_support::flow;
-use direct_support::idle;
-use direct_support::loaded;
-use direct_support::ms;
-use direct_support::plan;
-use direct_support::route;
-use direct_support::server;
+use crate::direct_support::Doubles;
+use crate::direct_support::Manner;
+use crate::direct_support::Paused;
+use crate::direct_support::TestFlow;
+use crate::direct_support::cold;
+use crate::direct_support::content;
+use crate::direct_support::domain;
+use crate::direct_support::flow;
+use crate::direct_support::idle;
+use crate::direct_support::loaded;
+use crate::direct_support::ms;
+use crate::direct_support::plan;
+use crate::direct_support::route;
+use crate::direct_support::row;
+use crate::direct_support::server;
 use jackdawpin_core::direct::flow::Call;
 use jackdawpin_core::direct::flow::Ended;
 use jackdawpin_core::direct::plan::Route;
@@ -263,3 +264,24 @@
     assert!(arrivals >= 3 * 3, "{arrivals}: cold servers get nothing");
     let _: &Paused = flow.clock();
 }
+
+/// Guards against an entry that is cut off from the store and from all its peers and goes on sending
+/// into a failure domain that was taken out meanwhile; and against one that refuses work because the
+/// store alone is away.
+#[tokio::test(start_paused = true)]
+async fn fence() {
+    let doubles = Doubles::default();
+    let flow = entry(&doubles, &[Manner::Answer(200, WORK)], 1);
+    let route = || flow.route("a.example", "/r/1").err();
+    tokio::time::sleep(ms(8_000)).await;
+    assert_eq!(route(), None, "an entry that never had peers is not cut off from them");
+    flow.peers.hear(row(2, "a").ip, [row(2, "a")], flow.clock().now());
+    tokio::time::sleep(ms(3_000)).await;
+    assert_eq!(route(), None, "a peer is heard");
+    tokio::time::sleep(ms(1_000)).await;
+    assert_eq!(route(), Some(Refusal::Fenced));
+    flow.note_proof(flow.clock().now());
+    assert_eq!(route(), None);
+    tokio::time::sleep(ms(5_100)).await;
+    assert_eq!(route(), Some(Refusal::Fenced));
+}
--- a/crates/core/tests/direct_peers.rs
+++ b/crates/core/tests/direct_peers.rs
@@ -7,10 +7,10 @@
 
 use rstest::rstest;
 
-use direct_support::Seeded;
-use direct_support::at;
-use direct_support::ms;
-use direct_support::row;
+use crate::direct_support::Seeded;
+use crate::direct_support::at;
+use crate::direct_support::ms;
+use crate::direct_support::row;
 use jackdawpin_core::direct::peers::BEAT;
 use jackdawpin_core::direct::peers::Peers;
 use jackdawpin_core::direct::peers::Row;
--- a/crates/core/tests/direct_plan.rs
+++ b/crates/core/tests/direct_plan.rs
@@ -7,9 +7,9 @@
 
 use rstest::rstest;
 
-use direct_support::plan;
-use direct_support::route;
-use direct_support::service;
+use crate::direct_support::plan;
+use crate::direct_support::route;
+use crate::direct_support::service;
 use jackdawpin_core::direct::plan::Part;
 use jackdawpin_core::direct::plan::Route;
 
--- a/crates/core/tests/direct_shares.rs
+++ b/crates/core/tests/direct_shares.rs
@@ -10,8 +10,8 @@
 use proptest::prelude::proptest;
 use proptest::prop_assert;
 
-use direct_support::at;
-use direct_support::ms;
+use crate::direct_support::at;
+use crate::direct_support::ms;
 use jackdawpin_core::direct::cold;
 use jackdawpin_core::direct::cold::Sends;
 use jackdawpin_core::direct::feed;
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+
 use jackdawpin_core::direct::fleet::Fleet;
 use jackdawpin_core::direct::fleet::Load;
 use jackdawpin_core::direct::fleet::Report;
--- a/crates/daemon/src/gateway/feeder.rs
+++ b/crates/daemon/src/gateway/feeder.rs
@@ -77,7 +77,16 @@
 
     /// Takes in a peer's proof; false if changes are missing here.
     pub(super) fn confirm(&self, to: u64, age: Duration, now: Instant) -> bool {
-        self.feed.lock().confirm(to, age, now)
+        let complete = self.feed.lock().confirm(to, age, now);
+        self.tell_proof(now);
+        complete
+    }
+
+    fn tell_proof(&self, now: Instant) {
+        let age = self.feed.lock().age(now);
+        if let Some(age) = age {
+            self.flow.note_proof(now.before(age));
+        }
     }
 
     /// Takes in what a peer passes on; false if earlier changes are missing.
@@ -97,6 +106,7 @@
     }
 
     fn apply(&self, changed: &[Item], outage: bool, now: Instant) {
+        self.tell_proof(now);
         for item in changed {
             match store::meaning(item) {
                 Ok(meaning) => self.put_in_force(meaning, item.revision, outage, now),
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -9,6 +9,7 @@
 use http::HeaderValue;
 use http::StatusCode;
 use http::request::Parts;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use motore::service::Service;
@@ -37,6 +38,9 @@
 /// Time for the body of a request to arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
+/// Time for the rest of a body that is too large.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// When a caller may come back to an entry that has no configuration yet.
 const NOT_READY: Duration = Duration::from_millis(200);
 
@@ -55,15 +59,22 @@
 
     async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let received = self.flow.clock().now();
-        let (parts, body) = request.into_parts();
+        let (parts, mut body) = request.into_parts();
         let limit = self.flow.plan().map_or(DEFAULT_BODY, |plan| plan.limits.body_bytes);
         // The body is read even for a request that is refused: a connection that is closed with
         // unread bytes is reset, and the caller could lose the answer.
-        let body = match body::read(body, limit, BODY_TIME, &self.budget).await {
+        let body = match body::read(&mut body, limit, BODY_TIME, &self.budget).await {
             Ok(body) => body,
-            Err(err) => return self.unread(&parts, &err),
+            Err(err) => {
+                drain(&mut body).await;
+                return unread(&parts, &err);
+            }
         };
         let id = text(&parts, wire::REQUEST_ID).unwrap_or_default();
+        if self.flow.plan().is_some_and(|plan| head_bytes(&parts) > plan.limits.head_bytes) {
+            log::warn!("event=request id={id} outcome=refused reason=\"the head is too large\"");
+            return plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+        }
         let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
         let route = match self.flow.route(host.unwrap_or_default(), parts.uri.path()) {
             Ok(route) => route,
@@ -87,17 +98,6 @@
         entered.end(id, &route.name, took, &ended);
         answer(ended)
     }
-
-    fn unread(&self, parts: &Parts, err: &body::Error) -> Response<Full<Bytes>> {
-        let id = text(parts, wire::REQUEST_ID).unwrap_or_default();
-        log::warn!("event=request id={id} outcome=refused reason=\"{err}\"");
-        plain(match err {
-            body::Error::Large(_) => StatusCode::PAYLOAD_TOO_LARGE,
-            body::Error::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
-            body::Error::Budget => StatusCode::SERVICE_UNAVAILABLE,
-            body::Error::Broken => StatusCode::BAD_REQUEST,
-        })
-    }
 }
 
 impl Service<Context, Request<Incoming>> for Front {
@@ -118,10 +118,37 @@
     }
 }
 
+/// Reads the rest of a body that is not used, for a while.
+async fn drain(body: &mut Incoming) {
+    let rest = async { while body.frame().await.is_some_and(|frame| frame.is_ok()) {} };
+    // A caller that sends for longer loses the answer.
+    let _ = tokio::time::timeout(DRAIN_TIME, rest).await;
+}
+
+fn unread(parts: &Parts, err: &body::Error) -> Response<Full<Bytes>> {
+    let id = text(parts, wire::REQUEST_ID).unwrap_or_default();
+    log::warn!("event=request id={id} outcome=refused reason=\"{err}\"");
+    plain(match err {
+        body::Error::Large(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        body::Error::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
+        body::Error::Budget => StatusCode::SERVICE_UNAVAILABLE,
+        body::Error::Broken => StatusCode::BAD_REQUEST,
+    })
+}
+
 fn text<'a>(parts: &'a Parts, name: &'static str) -> Option<&'a str> {
     headers::text(&parts.headers, &HeaderName::from_static(name))
 }
 
+/// Bytes of the request line and the header fields, as they are sent.
+fn head_bytes(parts: &Parts) -> usize {
+    const PER_FIELD: usize = ": \r\n".len();
+    let target = parts.uri.path_and_query().map_or(1, |target| target.as_str().len());
+    let line = parts.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
+    let fields = parts.headers.iter();
+    line + fields.map(|(name, value)| name.as_str().len() + value.len() + PER_FIELD).sum::<usize>()
+}
+
 fn content(parts: &Parts, body: Bytes) -> Content {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     Content {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -22,12 +22,12 @@
 mod stop;
 mod store;
 
+use crate::clock::Boot;
+use crate::clock::Random;
+
 pub use self::backend::Servers;
 pub use self::error::Error;
 pub use self::run::run;
 
-use crate::clock::Boot;
-use crate::clock::Random;
-
 /// The decisions with the adapters of this program.
 pub type Flow = jackdawpin_core::direct::flow::Flow<Servers, Boot, Random>;
--- a/crates/testkit/src/style/lines.rs
+++ b/crates/testkit/src/style/lines.rs
@@ -3,12 +3,14 @@
 /// Longest file outside tests, in lines.
 const MAX_LINES: usize = 500;
 /// Code that a request passes through, where calls are resolved at compile time.
-const REQUEST_PATH: [&str; 5] = [
+const REQUEST_PATH: [&str; 7] = [
     "crates/core/src/",
     "crates/daemon/src/front/",
+    "crates/daemon/src/gateway/",
     "crates/daemon/src/upstream/",
     "crates/daemon/src/peer/",
     "crates/daemon/src/control/",
+    "platform/src/",
 ];
 /// Top-level folders that only exist on somebody's machine.
 const MACHINE_FOLDERS: [&str; 4] = ["home", "root", "work", "Users"];
--- a/crates/testkit/tests/style.rs
+++ b/crates/testkit/tests/style.rs
@@ -29,7 +29,9 @@
 fn workspace() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).ancestors().nth(2).expect("the workspace");
     let mut files = Vec::new();
-    walk(&root.join("crates"), &mut files).expect("readable folders");
+    for folder in ["crates", "platform"] {
+        walk(&root.join(folder), &mut files).expect("readable folders");
+    }
     let relative = |file: &PathBuf| {
         let path = file.strip_prefix(root).expect("a path below the root");
         path.to_str().expect("a path in UTF-8").to_owned()
