--- a/crates/core/src/direct/flow/call.rs
+++ b/crates/core/src/direct/flow/call.rs
@@ -70,6 +70,8 @@
     pub last: Option<Pick>,
     /// What the last attempt proved.
     pub verdict: &'static str,
+    /// The shortest expected time of the servers asked last, if it was too long.
+    pub best: Option<Duration>,
 }
 
 /// What happened to a request so far.
@@ -84,6 +86,7 @@
     pub(super) hedged: bool,
     pub(super) pick: Option<Pick>,
     pub(super) last: &'static str,
+    pub(super) best: Option<Duration>,
 }
 
 impl Trail {
@@ -127,6 +130,7 @@
             hedged: self.hedged,
             last: self.pick,
             verdict: self.last,
+            best: self.best,
         }
     }
 }
--- a/crates/core/src/direct/flow/find.rs
+++ b/crates/core/src/direct/flow/find.rs
@@ -59,7 +59,8 @@
 
 pub(super) enum Found {
     Pick(Pick),
-    Nothing(Refusal),
+    /// Why there is none, and the shortest expected time if that was too long.
+    Nothing(Refusal, Option<Duration>),
 }
 
 impl<B: Backend, C: Clock, R: Random> Flow<B, C, R> {
@@ -73,15 +74,15 @@
         loop {
             match self.ask(call, service, tried).await {
                 Choice::Pick(pick) => return Found::Pick(pick),
-                Choice::Busy(_) => return Found::Nothing(Refusal::QueueFull),
+                Choice::Busy(best) => return Found::Nothing(Refusal::QueueFull, Some(best)),
                 Choice::Nobody => {}
             }
             let now = self.clock.now();
             if now + MIN_LEFT >= call.until() {
-                return Found::Nothing(Refusal::Deadline);
+                return Found::Nothing(Refusal::Deadline, None);
             }
             if now >= give_up {
-                return Found::Nothing(Refusal::NoServer);
+                return Found::Nothing(Refusal::NoServer, None);
             }
             self.clock.sleep_until(now + PAUSE).await;
         }
--- a/crates/core/src/direct/flow/mod.rs
+++ b/crates/core/src/direct/flow/mod.rs
@@ -210,7 +210,10 @@
         loop {
             let pick = match self.find(call, service, &trail.tried).await {
                 Found::Pick(pick) => pick,
-                Found::Nothing(refusal) => return trail.close(refusal),
+                Found::Nothing(refusal, best) => {
+                    trail.best = best;
+                    return trail.close(refusal);
+                }
             };
             if !self.charge(call, service, trail) {
                 self.give_back(call, service, &pick);
--- a/crates/daemon/src/gateway/journal.rs
+++ b/crates/daemon/src/gateway/journal.rs
@@ -83,15 +83,17 @@
             Outcome::Refused(refusal) => ("refused", refusal.to_string()),
             Outcome::Unknown(doubt) => ("unknown", doubt.to_string()),
         };
-        let head = format_args!(
+        let mut head = format!(
             "event=request id={id} route={route} outcome={outcome} reason={reason} took_ms={} \
              sends={} hedged={} last={}",
             took.as_millis(),
             ended.sends,
             ended.hedged,
             ended.verdict,
-        )
-        .to_string();
+        );
+        if let Some(best) = ended.best {
+            head.push_str(&format!(" best_expected_ms={}", best.as_millis()));
+        }
         let Some(pick) = &ended.last else {
             log::info!("{head}");
             return;
--- a/crates/daemon/tests/pages.rs
+++ b/crates/daemon/tests/pages.rs
@@ -46,8 +46,11 @@
     fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").join(path)).unwrap()
 }
 
+/// The part about the entry with settings by flags. The part before it is about the entry on the
+/// users' platform, which a test of the stand-ins compares with running processes.
 fn page() -> String {
-    read("docs/operations.md")
+    let page = read("docs/OPERATIONS.md");
+    page[page.find("## First look").unwrap()..].to_owned()
 }
 
 /// The texts in code style outside of blocks of code.
