--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -8,8 +8,10 @@
 mod score;
 mod server;
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +23,7 @@
 use self::server::State;
 use crate::direct::cold;
 use crate::direct::port::Probe;
+use crate::direct::share;
 use crate::lock::Mutex;
 use crate::lock::Rank;
 use crate::name;
@@ -39,6 +42,10 @@
 /// The same after the store was away: entries that lapsed meanwhile are back within about 2 s.
 pub const LAPSE_AFTER_OUTAGE: Duration = Duration::from_millis(2_200);
 
+/// Servers of a service in other failure domains that an entry asks. All entries of a domain together
+/// reach several times as many.
+const FAR_SERVERS: usize = 16;
+
 /// A chance to be in time from which on no further servers are asked.
 const GOOD_CHANCE: f64 = 0.85;
 
@@ -144,13 +151,14 @@
 #[derive(Debug)]
 pub struct Fleet {
     domain: name::Domain,
+    own: Ipv4Addr,
     table: Mutex<Table>,
 }
 
 impl Fleet {
-    /// Creates an empty table for an entry in `domain`.
-    pub fn new(domain: name::Domain) -> Self {
-        Self { domain, table: Mutex::new(Rank::Pool, Table::default()) }
+    /// Creates an empty table for the entry at `own` in `domain`.
+    pub fn new(domain: name::Domain, own: Ipv4Addr) -> Self {
+        Self { domain, own, table: Mutex::new(Rank::Pool, Table::default()) }
     }
 
     /// Takes over what the platform says of a server.
@@ -233,6 +241,9 @@
                 && !asked.contains(&state.server.name)
         };
         let mut found: SmallVec<[&State; 32]> = states.iter().filter(wanted).collect();
+        if reach == Reach::All {
+            self.narrow(&mut found, count);
+        }
         let mut chosen = SmallVec::new();
         while chosen.len() < count && !found.is_empty() {
             let bound = u64::try_from(found.len()).unwrap_or(u64::MAX);
@@ -247,6 +258,21 @@
         chosen
     }
 
+    /// Keeps the servers of other failure domains that this entry usually asks. Entries that asked any
+    /// of them would open a connection for each probe; servers bear a limited number of these.
+    fn narrow(&self, found: &mut SmallVec<[&State; 32]>, count: usize) {
+        let is_near = |state: &&State| state.server.domain == self.domain;
+        let mut far: Vec<&State> = found.iter().copied().filter(|state| !is_near(state)).collect();
+        let usual = FAR_SERVERS.max(count);
+        if far.len() <= usual {
+            return;
+        }
+        far.sort_by_key(|state| Reverse(share::score(state.server.name.as_str(), self.own)));
+        far.truncate(usual);
+        found.retain(|state| is_near(state));
+        found.extend(far);
+    }
+
     /// Records the answer to a probe; `None` if there was none.
     pub fn note_probe(&self, service: &str, server: &str, probe: Option<&Probe>, now: Instant) {
         let mut table = self.table.lock();
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -15,6 +15,7 @@
 use crate::direct_support::idle;
 use crate::direct_support::loaded;
 use crate::direct_support::ms;
+use crate::direct_support::row;
 use crate::direct_support::server;
 use crate::direct_support::vm;
 use jackdawpin_core::direct::fleet::Asked;
@@ -45,7 +46,7 @@
 }
 
 fn fleet(servers: &[Server]) -> Fleet {
-    let fleet = Fleet::new(domain("a"));
+    let fleet = Fleet::new(domain("a"), row(1, "a").ip);
     for server in servers {
         fleet.update(server.clone(), at(0));
     }
@@ -285,3 +286,25 @@
     let first = names.iter().filter(|name| *name == "s1").count();
     assert_eq!(first, 3, "requests in flight must even out: {names:?}");
 }
+
+/// Guards against an entry that opens connections to all servers of a large fleet, and against one
+/// that gives up when the far servers it usually asks are gone.
+#[test]
+fn few_far_servers() {
+    let servers: Vec<Server> =
+        (1..200).map(|n| server(n, if n % 10 == 0 { "a" } else { "b" })).collect();
+    let fleet = fleet(&servers);
+    let random = Seeded::new(1);
+    let ask = |asked: &Asked| fleet.candidates(SERVICE, Reach::All, asked, 4, at(10), &random);
+    let mut far = std::collections::BTreeSet::new();
+    for _ in 0..500 {
+        let names = ask(&Asked::new()).into_iter().map(|candidate| candidate.server);
+        far.extend(names.filter(|name| !name.as_str().ends_with('0')));
+    }
+    assert!(far.len() <= 16, "{} far servers", far.len());
+    for name in &far {
+        fleet.lapse(name.as_str(), Duration::ZERO, at(5));
+    }
+    let others = ask(&Asked::new());
+    assert_eq!(others.len(), 4, "others take their place: {others:?}");
+}
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -299,7 +299,7 @@
 pub fn flow(doubles: &Doubles, servers: &[Server], seed: u64) -> Arc<TestFlow> {
     let clock = Paused(tokio::time::Instant::now());
     ORIGIN.with(|origin| *origin.borrow_mut() = Some(clock));
-    let fleet = Fleet::new(domain("a"));
+    let fleet = Fleet::new(domain("a"), row(1, "a").ip);
     for server in servers {
         fleet.update(server.clone(), clock.now());
     }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -161,7 +161,7 @@
         leaving: false,
     };
     let peers = Peers::new(row, settings.seeds.clone());
-    let fleet = Fleet::new(settings.domain.clone());
+    let fleet = Fleet::new(settings.domain.clone(), settings.ip);
     Flow::new((fleet, peers), (servers, Boot, Random), settings.bounds)
 }
 
