--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -46,10 +46,10 @@
 
 /// How long an entry of a system that starts for the first time waits for its peers, before it
 /// decides whether it is one of the readers.
-const GATHER: Duration = Duration::from_millis(700);
+const GATHER: Duration = Duration::from_millis(1_200);
 
 /// How long an entry that is not a reader then waits for what the readers pass on.
-const FIRST_PASS: Duration = Duration::from_millis(800);
+const FIRST_PASS: Duration = Duration::from_millis(1_500);
 
 /// Largest answer of the store in bytes: 500 items of 1 MB in all, as base64 and JSON.
 const MAX_ANSWER: usize = 4 << 20;
