Take a probe whose cold time cannot be read as unanswered

A field for how long a server is cold that is there but cannot be read counted as 0, so the server got the work of a warm one. The same held for an unreadable name, which was taken for no name. Both now make the probe count as unanswered, with a log line; an unreadable load is logged and judged as no load. The field is decoded in the platform package.

An unreadable time left of a caller is logged instead of dropped silently. The request that a server sees is built in one place for both kinds of server.

--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -9,6 +9,7 @@
 //! A connection serves one exchange at a time and goes back to the pool only after a whole answer.
 //! A cancelled or timed-out exchange closes its connection.
 
+pub mod content;
 mod error;
 mod idle;
 
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -8,7 +8,6 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
-use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -17,13 +16,13 @@
 use crate::clock::Boot;
 use crate::exchange::Client;
 use crate::exchange::Error;
+use crate::exchange::content;
 use crate::headers;
 use jackdawpin_core::direct::fleet::Report;
 use jackdawpin_core::direct::port;
 use jackdawpin_core::direct::port::Attempt;
 use jackdawpin_core::direct::port::Probe;
 use jackdawpin_core::direct::port::Verdict;
-use jackdawpin_core::name;
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::port::Clock;
 use jackdawpin_platform::http as wire;
@@ -89,29 +88,45 @@
                 return None;
             }
         };
-        let map = response.headers();
-        let cold_for = field(map, wire::COLD_FOR).and_then(|text| text.parse().ok()).unwrap_or(0.0);
-        Some(Probe {
-            server: field(map, wire::SERVER).and_then(|text| name::Vm::try_from(text).ok()),
-            healthy: response.status() == StatusCode::OK,
-            report: Report {
-                load: field(map, wire::LOAD).and_then(wire::load),
-                cold_for: Duration::try_from_secs_f64(cold_for / 1e3).unwrap_or_default(),
-            },
-        })
+        probe(address, &response)
     }
 }
 
+/// What the answer to a probe says. A server that does not say readably who it is or how long it is
+/// cold has given no answer: as a warm one it could get more than it bears.
+fn probe(address: SocketAddr, response: &Response<Bytes>) -> Option<Probe> {
+    let map = response.headers();
+    let server = match map.get(wire::SERVER) {
+        None => None,
+        Some(value) => Some(read(address, wire::SERVER, value, |text| text.try_into().ok())?),
+    };
+    let cold_for = match map.get(wire::COLD_FOR) {
+        None => Duration::ZERO,
+        Some(value) => read(address, wire::COLD_FOR, value, wire::cold_for)?,
+    };
+    // Without its load, a server is judged by the requests in flight to it from here.
+    let load = map.get(wire::LOAD).and_then(|value| read(address, wire::LOAD, value, wire::load));
+    let healthy = response.status() == StatusCode::OK;
+    Some(Probe { server, healthy, report: Report { load, cold_for } })
+}
+
+/// Reads a field of an answer to a probe, and logs one that cannot be read.
+fn read<T>(
+    address: SocketAddr,
+    name: &str,
+    value: &HeaderValue,
+    read: impl Fn(&str) -> Option<T>,
+) -> Option<T> {
+    let result = value.to_str().ok().and_then(read);
+    if result.is_none() {
+        log::warn!("event=probe address={address} field={name} error=\"cannot read {value:?}\"");
+    }
+    result
+}
+
 fn request(attempt: &Attempt<'_>, left: Duration) -> Option<Request<Full<Bytes>>> {
-    let content = attempt.content;
-    let mut request = Request::builder()
-        .method(Method::from_bytes(content.method.as_bytes()).ok()?)
-        .uri(&*content.path)
-        .body(Full::new(content.body.clone()))
-        .ok()?;
-    let fields = content.headers.iter().map(|field| (&*field.name, &field.value[..]));
+    let mut request = content::request(attempt.content, &SET_FIELDS)?;
     let map = request.headers_mut();
-    headers::extend_except(map, fields, &SET_FIELDS);
     let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
     map.insert(HeaderName::from_static(wire::TIME_LEFT), HeaderValue::from(millis));
     let target = HeaderValue::from_str(attempt.server.as_str()).ok()?;
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -17,6 +17,7 @@
 use volo_http::response::Response;
 
 use super::Flow;
+use super::directory::status as plain;
 use super::journal::Journal;
 use crate::headers;
 use crate::listen::Budget;
@@ -83,15 +84,9 @@
                 return refused(refusal, Some(NOT_READY));
             }
         };
-        let patience = text(&parts, wire::TIME_LEFT).and_then(|text| text.parse().ok());
+        let patience = patience(&parts, id);
         let content = content(&parts, body);
-        let call = Call {
-            id,
-            route: &route,
-            received,
-            patience: patience.map(Duration::from_millis),
-            content: &content,
-        };
+        let call = Call { id, route: &route, received, patience, content: &content };
         let entered = self.journal.enter(id, &route.name);
         let ended = self.flow.serve(call).await;
         let took = self.flow.clock().now().since(received);
@@ -140,6 +135,19 @@
     headers::text(&parts.headers, &HeaderName::from_static(name))
 }
 
+/// How long the caller waits, if it says so readably.
+fn patience(parts: &Parts, id: &str) -> Option<Duration> {
+    let value = parts.headers.get(wire::TIME_LEFT)?;
+    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+    if millis.is_none() {
+        log::warn!(
+            "event=request id={id} field={} error=\"cannot read {value:?}\"",
+            wire::TIME_LEFT
+        );
+    }
+    millis.map(Duration::from_millis)
+}
+
 /// Bytes of the request line and the header fields, as they are sent.
 fn head_bytes(parts: &Parts) -> usize {
     const PER_FIELD: usize = ": \r\n".len();
@@ -194,9 +202,3 @@
     }
     response
 }
-
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
--- a/crates/daemon/src/headers/mod.rs
+++ b/crates/daemon/src/headers/mod.rs
@@ -50,7 +50,7 @@
 ];
 
 /// Fields that this system sets.
-const OWN_FIELDS: [&str; 9] = [
+pub const OWN_FIELDS: [&str; 9] = [
     "endpoint-load-metrics",
     "host",
     "x-attempt",
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
-use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -17,6 +16,7 @@
 
 use crate::exchange::Client;
 use crate::exchange::Error;
+use crate::exchange::content;
 use crate::headers;
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::outcome::Doubt;
@@ -98,15 +98,8 @@
     attempt: &Attempt<'_>,
     left: Duration,
 ) -> Option<Request<Full<Bytes>>> {
-    let content = &attempt.request.content;
-    let mut request = Request::builder()
-        .method(Method::from_bytes(content.method.as_bytes()).ok()?)
-        .uri(&*content.path)
-        .body(Full::new(content.body.clone()))
-        .ok()?;
-    let fields = content.headers.iter().map(|field| (&*field.name, &field.value[..]));
+    let mut request = content::request(&attempt.request.content, &headers::OWN_FIELDS)?;
     let map = request.headers_mut();
-    headers::extend(map, fields);
     map.insert(http::header::HOST, HeaderValue::from_str(&address.to_string()).ok()?);
     let id = HeaderValue::from_str(attempt.request.id.as_str()).ok()?;
     map.insert(headers::REQUEST_ID, id);
