Deliver an answer at once while a second server is sought

While a second server was sought for a late request, the first attempt was not polled, so its answer waited for the probes (30 ms each round in the test). An error of one server was dropped once the other one got the request too; if that one stayed silent, the caller got a timeout instead of the error. Each attempt now goes through Trail::note, which keeps what it proved, and the first attempt is polled throughout.

direct_flow.rs: answer_while_a_second_server_is_sought (360 ms instead of 330) and error_beside_a_silent_server (unknown instead of the error) failed before and pass now. The numbers of servers and entries for the probe budget are counted every 50 ms instead of at each round.

--- a/crates/core/src/direct/flow/call.rs
+++ b/crates/core/src/direct/flow/call.rs
@@ -91,22 +91,38 @@
 
 impl Trail {
     pub(super) fn arrived(&self) -> bool {
-        self.arrivals > 0 || self.doubt || self.failed.is_some()
+        self.arrivals > 0 || self.may_have_run()
     }
 
-    pub(super) fn note(&mut self, pick: &Pick, verdict: &Verdict) {
+    /// Whether a server may have run the request, so that only an idempotent one is repeated.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.doubt || self.failed.is_some()
+    }
+
+    /// Notes what an attempt proved, and returns the answer if it is a good one.
+    pub(super) fn note(&mut self, id: &str, pick: &Pick, verdict: Verdict) -> Option<Answer> {
+        self.tried.push(pick.server.clone());
         self.pick = Some(pick.clone());
-        self.last = match verdict {
-            Verdict::Ran(_) => "ran",
-            Verdict::Shed => "shed",
-            Verdict::Misdirected => "misdirected",
-            Verdict::NotSent => "not_sent",
-            Verdict::MayHaveRun(why) => why,
-        };
+        self.last = verdict.as_str();
+        log::debug!(
+            "event=attempt id={id} server={} expected_ms={} report_age_ms={} verdict={}",
+            pick.server,
+            pick.expected.as_millis(),
+            pick.age.as_millis(),
+            self.last
+        );
         match verdict {
             Verdict::NotSent => self.refused_sends += 1,
             _ => self.sends += 1,
         }
+        match verdict {
+            Verdict::Ran(answer) if answer.status < 500 => return Some(answer),
+            Verdict::Ran(answer) => self.failed = Some(answer),
+            Verdict::MayHaveRun(_) => self.doubt = true,
+            Verdict::Shed | Verdict::Misdirected => self.arrivals += 1,
+            Verdict::NotSent => {}
+        }
+        None
     }
 
     /// The end without a good answer: what a server answered, if one did; else unknown, if one may
--- a/crates/core/src/direct/flow/find.rs
+++ b/crates/core/src/direct/flow/find.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use smallvec::SmallVec;
 use tokio::task::JoinHandle;
 
@@ -153,12 +155,13 @@
     }
 
     fn probe_width(&self, now: Instant) -> usize {
-        let rate = self.bounds.lock().probe_rate;
-        let entries = self.peers.count(now);
-        let (usable, _) = self.fleet.counts(now);
-        let probes = &mut self.accounts.lock().probes;
-        probes.fill(now, rate, usable, entries);
-        probes.width()
+        if self.accounts.lock().probes.is_due(now) {
+            let entries = self.peers.count(now);
+            let rate = self.bounds.lock().probe_rate;
+            let (usable, _) = self.fleet.counts(now);
+            self.accounts.lock().probes.fill(now, rate, usable, entries);
+        }
+        self.accounts.lock().probes.width()
     }
 
     /// A probe in a task of its own: its answer is of use for other requests even if this one does
@@ -207,12 +210,11 @@
     if probes.is_empty() {
         return;
     }
-    let mut pending: futures_util::stream::FuturesUnordered<_> = probes.into_iter().collect();
-    let next = futures_util::StreamExt::next(&mut pending);
-    if tokio::time::timeout(FIRST_ANSWER, next).await.is_err() {
+    let mut pending: FuturesUnordered<_> = probes.into_iter().collect();
+    if tokio::time::timeout(FIRST_ANSWER, pending.next()).await.is_err() {
         return;
     }
-    let rest = async { while futures_util::StreamExt::next(&mut pending).await.is_some() {} };
+    let rest = async { while pending.next().await.is_some() {} };
     // A probe that takes longer is noted when it ends.
     let _ = tokio::time::timeout(STRAGGLERS, rest).await;
 }
--- a/crates/core/src/direct/flow/hedge.rs
+++ b/crates/core/src/direct/flow/hedge.rs
@@ -15,6 +15,7 @@
 use crate::direct::port::Backend;
 use crate::direct::port::Verdict;
 use crate::name;
+use crate::outcome::Answer;
 use crate::port::Clock;
 use crate::port::Random;
 use crate::time::Instant;
@@ -53,52 +54,49 @@
 }
 
 impl<B: Backend, C: Clock, R: Random> Flow<B, C, R> {
-    /// Sends to `pick`. If the request is idempotent and the answer is late while there is time for
-    /// another one, a second server gets it as well; the first answer counts and the other attempt
-    /// is dropped.
+    /// Sends to `pick`, and notes in `trail` what that proved. If the request is idempotent and the
+    /// answer is late while there is time for another one, a second server gets it as well. Returns
+    /// the answer if it is a good one.
     pub(super) async fn race(
         self: &Arc<Self>,
         call: &Call<'_>,
         service: &name::Service,
-        pick: Pick,
+        pick: &Pick,
         trail: &mut Trail,
-    ) -> (Verdict, Pick) {
+    ) -> Option<Answer> {
         let started = self.clock.now();
-        let first = self.fly(call, service, &pick);
-        let mut first = std::pin::pin!(first);
-        if let Some(late) = self.hedge_at(call, trail, &pick, started) {
-            tokio::select! {
-                verdict = &mut first => return (verdict, pick.clone()),
-                () = self.clock.sleep_until(late) => {}
-            }
-            if let Some(second) = self.second(call, service, &pick, trail).await {
-                trail.hedged = true;
-                trail.sends += 1;
-                let other = self.fly(call, service, &second);
-                let mut other = std::pin::pin!(other);
-                let (verdict, by_first) = tokio::select! {
-                    verdict = &mut first => (verdict, true),
-                    verdict = &mut other => (verdict, false),
-                };
-                if matches!(&verdict, Verdict::Ran(answer) if answer.status < 500) {
-                    let winner = if by_first { pick.clone() } else { second.clone() };
-                    return (verdict, winner);
-                }
-                trail.doubt |=
-                    !matches!(verdict, Verdict::Shed | Verdict::Misdirected | Verdict::NotSent);
-                trail.tried.push(if by_first {
-                    pick.server.clone()
-                } else {
-                    second.server.clone()
-                });
-                return match by_first {
-                    true => (other.await, second.clone()),
-                    false => (first.await, pick.clone()),
-                };
-            }
+        let mut first = std::pin::pin!(self.fly(call, service, pick));
+        let Some(late) = self.hedge_at(call, trail, pick, started) else {
+            return trail.note(call.id, pick, first.await);
+        };
+        // The first server may answer while the second one is sought, and that answer goes out at
+        // once.
+        let second = tokio::select! {
+            biased;
+            verdict = &mut first => return trail.note(call.id, pick, verdict),
+            second = self.second(late, call, service, pick, trail) => second,
+        };
+        let Some(second) = second else {
+            return trail.note(call.id, pick, first.await);
+        };
+        trail.hedged = true;
+        let mut other = std::pin::pin!(self.fly(call, service, &second));
+        let (verdict, is_first) = tokio::select! {
+            biased;
+            verdict = &mut first => (verdict, true),
+            verdict = &mut other => (verdict, false),
+        };
+        let ended = if is_first { pick } else { &second };
+        if let Some(answer) = trail.note(call.id, ended, verdict) {
+            // The attempt that is dropped has reached its server as well.
+            trail.sends += 1;
+            return Some(answer);
+        }
+        if is_first {
+            trail.note(call.id, &second, other.await)
+        } else {
+            trail.note(call.id, pick, first.await)
         }
-        let verdict = first.await;
-        (verdict, pick.clone())
     }
 
     /// When a second attempt is worth its load, if ever.
@@ -121,13 +119,16 @@
         (lost + usual < call.until()).then_some(lost)
     }
 
+    /// A second server, sought at `late` and charged to the service's retry budget.
     async fn second(
         self: &Arc<Self>,
+        late: Instant,
         call: &Call<'_>,
         service: &name::Service,
         first: &Pick,
         trail: &Trail,
     ) -> Option<Pick> {
+        self.clock.sleep_until(late).await;
         let mut tried: Asked = trail.tried.clone();
         tried.push(first.server.clone());
         let Found::Pick(second) = self.find(call, service, &tried).await else {
--- a/crates/core/src/direct/flow/mod.rs
+++ b/crates/core/src/direct/flow/mod.rs
@@ -25,7 +25,6 @@
 use crate::direct::plan::Plan;
 use crate::direct::plan::Route;
 use crate::direct::port::Backend;
-use crate::direct::port::Verdict;
 use crate::direct::probes;
 use crate::direct::retries;
 use crate::lock::Mutex;
@@ -219,33 +218,11 @@
                 self.give_back(call, service, &pick);
                 return trail.close(Refusal::Attempts);
             }
-            let (verdict, pick) = self.race(call, service, pick, trail).await;
-            trail.tried.push(pick.server.clone());
-            trail.note(&pick, &verdict);
-            log::debug!(
-                "event=attempt id={} server={} expected_ms={} report_age_ms={} verdict={}",
-                call.id,
-                pick.server,
-                pick.expected.as_millis(),
-                pick.age.as_millis(),
-                trail.last
-            );
-            match verdict {
-                Verdict::Ran(answer) if answer.status < 500 => return Outcome::Answered(answer),
-                Verdict::Ran(answer) => {
-                    trail.failed = Some(answer);
-                    if !call.route.idempotent {
-                        return trail.close(Refusal::Attempts);
-                    }
-                }
-                Verdict::MayHaveRun(_) => {
-                    trail.doubt = true;
-                    if !call.route.idempotent {
-                        return trail.close(Refusal::Attempts);
-                    }
-                }
-                Verdict::Shed | Verdict::Misdirected => trail.arrivals += 1,
-                Verdict::NotSent => {}
+            if let Some(answer) = self.race(call, service, &pick, trail).await {
+                return Outcome::Answered(answer);
+            }
+            if trail.may_have_run() && !call.route.idempotent {
+                return trail.close(Refusal::Attempts);
             }
             if self.clock.now() >= call.until() {
                 return trail.close(Refusal::Deadline);
--- a/crates/core/src/direct/port.rs
+++ b/crates/core/src/direct/port.rs
@@ -25,6 +25,19 @@
     MayHaveRun(&'static str),
 }
 
+impl Verdict {
+    /// The verdict as a word for the log.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Ran(_) => "ran",
+            Self::Shed => "shed",
+            Self::Misdirected => "misdirected",
+            Self::NotSent => "not_sent",
+            Self::MayHaveRun(why) => why,
+        }
+    }
+}
+
 /// One attempt.
 #[derive(Debug, Clone, Copy)]
 pub struct Attempt<'a> {
--- a/crates/core/src/direct/probes.rs
+++ b/crates/core/src/direct/probes.rs
@@ -14,6 +14,9 @@
 /// Time over which unused probes are saved up.
 const SAVED: Duration = Duration::from_secs(4);
 
+/// Time between two counts of the servers and entries, which walk over all of them.
+const FILL_EVERY: Duration = Duration::from_millis(50);
+
 /// Servers asked at once while the savings are high.
 pub const MAX_ASKED: usize = 4;
 
@@ -26,6 +29,11 @@
 }
 
 impl Budget {
+    /// Whether it is time to fill up.
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.filled.is_none_or(|at| now.since(at) >= FILL_EVERY)
+    }
+
     /// Adds what `rate` probes a second and server allow this entry, one of `entries`, for `servers`
     /// servers since the last call.
     pub fn fill(&mut self, now: Instant, rate: f64, servers: usize, entries: usize) {
--- a/crates/core/tests/direct_flow.rs
+++ b/crates/core/tests/direct_flow.rs
@@ -328,3 +328,51 @@
     let usual = flow.fleet.usual("r", ms(0));
     assert!(usual < ms(60), "{usual:?}: the estimate does not come back");
 }
+
+/// Guards against an answer that is ready and is held back while a second server is sought.
+#[tokio::test(start_paused = true)]
+async fn answer_while_a_second_server_is_sought() {
+    let mut sought = 0;
+    for seed in 0..20 {
+        let doubles = Doubles::default();
+        let flow =
+            entry(&doubles, &[Manner::Answer(200, ms(200)), Manner::Answer(200, ms(200))], seed);
+        let patient = Route { aim: Some(ms(700)), ..route(true) };
+        for id in ["a", "b", "c"] {
+            serve(&flow, id, &patient).await;
+        }
+        // Late enough for a second server, which takes long to find because it gives no answer.
+        doubles.add(1, Manner::Answer(200, ms(330)), idle());
+        doubles.add(2, Manner::Absent, idle());
+        let before = doubles.0.lock().unwrap().probes;
+        let (ended, took) = serve(&flow, "1", &patient).await;
+        sought += u32::from(doubles.0.lock().unwrap().probes > before + 2);
+        assert!(matches!(ended.outcome, Outcome::Answered(_)), "seed {seed}: {ended:?}");
+        assert!(took <= ms(330 + 15), "seed {seed}: {took:?}");
+    }
+    assert!(sought > 0, "no seed sought a second server");
+}
+
+/// Guards against a server's answer that is dropped because it is an error and the second server,
+/// which got the request as well, never answers.
+#[tokio::test(start_paused = true)]
+async fn error_beside_a_silent_server() {
+    let mut hedged = 0;
+    for seed in 0..20 {
+        let doubles = Doubles::default();
+        let flow =
+            entry(&doubles, &[Manner::Answer(200, ms(60)), Manner::Answer(200, ms(60))], seed);
+        for id in ["a", "b", "c"] {
+            serve(&flow, id, &route(true)).await;
+        }
+        doubles.add(1, Manner::Answer(500, ms(150)), idle());
+        doubles.add(2, Manner::Mute, idle());
+        let (ended, _) = serve(&flow, "1", &route(true)).await;
+        hedged += u32::from(ended.hedged);
+        assert!(
+            matches!(&ended.outcome, Outcome::Answered(answer) if answer.status == 500),
+            "seed {seed}: {ended:?}"
+        );
+    }
+    assert!(hedged > 0, "no seed sent to both servers");
+}
