--- a/crates/daemon/src/gateway/feeder.rs
+++ b/crates/daemon/src/gateway/feeder.rs
@@ -57,56 +57,47 @@
 
     /// Takes in a whole list.
     pub(super) fn replace(&self, at: u64, items: Vec<Item>, proved: Instant, now: Instant) {
-        let (outage, changed) = {
-            let mut feed = self.feed.lock();
-            let outage = feed.age(now).is_none_or(|age| age > OUTAGE);
-            (outage, feed.replace(at, items, proved))
-        };
+        let (changed, outage) = self.step(now, |feed| feed.replace(at, items, proved));
         self.apply(&changed, outage, now);
     }
 
     /// Takes in changes from the store.
     pub(super) fn advance(&self, to: u64, items: Vec<Item>, proved: Instant, now: Instant) {
-        let (outage, changed) = {
-            let mut feed = self.feed.lock();
-            let outage = feed.age(now).is_none_or(|age| age > OUTAGE);
-            (outage, feed.advance(to, items, proved))
-        };
+        let (changed, outage) = self.step(now, |feed| feed.advance(to, items, proved));
         self.apply(&changed, outage, now);
     }
 
     /// Takes in a peer's proof; false if changes are missing here.
     pub(super) fn confirm(&self, to: u64, age: Duration, now: Instant) -> bool {
-        let complete = self.feed.lock().confirm(to, age, now);
-        self.tell_proof(now);
-        complete
+        self.step(now, |feed| feed.confirm(to, age, now)).0
     }
 
-    fn tell_proof(&self, now: Instant) {
-        let age = self.feed.lock().age(now);
-        if let Some(age) = age {
-            self.flow.note_proof(now.before(age));
+    /// Takes in what a peer passes on; false if earlier changes are missing.
+    pub(super) fn take(&self, delta: Delta, now: Instant) -> bool {
+        match self.step(now, |feed| feed.take(delta, now)) {
+            (Taken::Changed(changed), outage) => {
+                self.apply(&changed, outage, now);
+                true
+            }
+            (Taken::Gap, _) => false,
         }
     }
 
-    /// Takes in what a peer passes on; false if earlier changes are missing.
-    pub(super) fn take(&self, delta: Delta, now: Instant) -> bool {
-        let (outage, taken) = {
+    /// Takes one step with the items and tells the flow how old the last proof is after it. The
+    /// second result says whether the store was away before it.
+    fn step<T>(&self, now: Instant, step: impl FnOnce(&mut Feed) -> T) -> (T, bool) {
+        let (result, outage, age) = {
             let mut feed = self.feed.lock();
             let outage = feed.age(now).is_none_or(|age| age > OUTAGE);
-            (outage, feed.take(delta, now))
+            (step(&mut feed), outage, feed.age(now))
         };
-        match taken {
-            Taken::Changed(changed) => {
-                self.apply(&changed, outage, now);
-                true
-            }
-            Taken::Gap => false,
+        if let Some(age) = age {
+            self.flow.note_proof(now.before(age));
         }
+        (result, outage)
     }
 
     fn apply(&self, changed: &[Item], outage: bool, now: Instant) {
-        self.tell_proof(now);
         for item in changed {
             match store::meaning(item) {
                 Ok(meaning) => self.put_in_force(meaning, item.revision, outage, now),
