Bound the messages between failure domains by domain, not by entry

The entries of a domain now send 4 such messages together in each beat; what one receiver learns spreads within its domain as before.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -22,9 +22,10 @@
 /// Peers of the own failure domain that each beat is sent to.
 const NEAR_FANOUT: usize = 5;
 
-/// Peers of other failure domains that each beat is sent to. What one of them learns spreads within
-/// its failure domain, where bytes cost less.
-const FAR_FANOUT: usize = 1;
+/// Messages to other failure domains that the entries of one send together in each beat. What a
+/// receiver learns spreads within its failure domain, where bytes cost less. The number does not
+/// grow with the entries, so neither do the bytes between failure domains.
+const FAR_MESSAGES: usize = 4;
 
 /// Time without a sign of life after which a peer no longer counts as live. Twelve beats, so that a
 /// few lost datagrams on the way make no difference.
@@ -129,7 +130,9 @@
         table.own.beat += 1;
         table.update(now);
         let mut targets = table.targets(true, NEAR_FANOUT, now, random);
-        targets.extend(table.targets(false, FAR_FANOUT, now, random));
+        if pick(random, table.near(now).count() + 1) < FAR_MESSAGES {
+            targets.extend(table.targets(false, 1, now, random));
+        }
         let revive = table.own.beat.is_multiple_of(REVIVE_EVERY) || targets.len() < 2;
         if revive && let Some(ip) = table.silent(now, random) {
             targets.push(ip);
@@ -199,8 +202,7 @@
     /// The live peers of the own failure domain.
     pub fn near(&self, now: Instant) -> Vec<Ipv4Addr> {
         let table = self.table.lock();
-        let near = table.live(now).filter(|peer| peer.row.domain == table.own.domain);
-        near.map(|peer| peer.row.ip).collect()
+        table.near(now).map(|peer| peer.row.ip).collect()
     }
 
     /// The first live peers for `key` of each other failure domain, which pass messages on to the
@@ -244,6 +246,11 @@
         self.peers.iter().filter(move |peer| paused || now.since(peer.heard) < SILENT_AFTER)
     }
 
+    /// The live peers of the own failure domain.
+    fn near(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.live(now).filter(|peer| peer.row.domain == self.own.domain)
+    }
+
     /// Notes which peers went silent or were heard again, and forgets those long gone.
     fn update(&mut self, now: Instant) {
         let paused = now < self.paused_until;
--- a/crates/core/tests/direct_peers.rs
+++ b/crates/core/tests/direct_peers.rs
@@ -30,12 +30,19 @@
     loss_percent: u64,
     /// Whether the entries of the lower and the upper half reach each other.
     cut: bool,
+    domains: u8,
+    /// Messages sent between failure domains.
+    far: u32,
 }
 
 impl Mesh {
     /// `count` entries that know only the first one, which may be down.
     fn new(count: u8, seed: u64, loss_percent: u64) -> Self {
-        let domain = |number: u8| if number.is_multiple_of(2) { "a" } else { "b" };
+        Self::over(2, count, seed, loss_percent)
+    }
+
+    fn over(domains: u8, count: u8, seed: u64, loss_percent: u64) -> Self {
+        let domain = |number: u8| ["a", "b", "c", "d", "e"][usize::from(number % domains)];
         let entry = |number| Some(Peers::new(row(number, domain(number)), vec![ip(0), ip(1)]));
         Self {
             entries: (0..count).map(entry).collect(),
@@ -43,6 +50,8 @@
             random: Seeded::new(seed),
             loss_percent,
             cut: false,
+            domains,
+            far: 0,
         }
     }
 
@@ -61,6 +70,8 @@
                 let rows = sender.rows(self.now, &self.random);
                 for target in targets {
                     let to = usize::from(target.octets()[3]);
+                    let domains = usize::from(self.domains);
+                    self.far += u32::from(from % domains != to % domains);
                     let Some(receiver) = &self.entries[to] else { continue };
                     if !self.reach(from, to) {
                         continue;
@@ -113,6 +124,25 @@
     }
 }
 
+/// Guards against bytes between failure domains that grow with the entries: there each message has
+/// its price, and the entries of a failure domain learn the same from one as from many.
+#[test]
+fn few_messages_between_domains() {
+    let mut sent = Vec::new();
+    for count in [40, 250] {
+        let mut mesh = Mesh::over(5, count, 1, 5);
+        mesh.run(5_000);
+        mesh.far = 0;
+        for _ in 0..10 {
+            mesh.run(1_000);
+            let least = mesh.counts().into_iter().min().unwrap();
+            assert!(least >= usize::from(count) * 9 / 10, "{least} of {count}");
+        }
+        sent.push(mesh.far);
+    }
+    assert!(sent[1] <= sent[0] * 3 / 2, "{sent:?} messages for 40 and 250 entries");
+}
+
 /// Guards against a dead entry that callers are still sent to 6 s later, and against one that left
 /// and is still named.
 #[test]
