--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -22,10 +22,10 @@
 /// Peers of the own failure domain that each beat is sent to.
 const NEAR_FANOUT: usize = 5;
 
-/// Messages to other failure domains that the entries of one send together in each beat. What a
-/// receiver learns spreads within its failure domain, where bytes cost less. The number does not
-/// grow with the entries, so neither do the bytes between failure domains.
-const FAR_MESSAGES: usize = 4;
+/// Entries of a failure domain that in each beat send a message to another one. What its receiver
+/// learns spreads there, where bytes cost less. The number does not grow with the entries, so
+/// neither do the bytes between failure domains.
+const MESSENGERS: usize = 6;
 
 /// Time without a sign of life after which a peer no longer counts as live. Twelve beats, so that a
 /// few lost datagrams on the way make no difference.
@@ -42,11 +42,20 @@
 /// the same few peers.
 const MIXED: Duration = Duration::from_millis(2_000);
 
+/// Age by which rows of other failure domains come after those of the own one in a message to
+/// another failure domain. Fresh ones still get there, such as those of entries that have just
+/// started and know nobody in their own.
+const FOREIGN: Duration = Duration::from_millis(1_000);
+
+/// Rows from which on a sender knows enough others. One that tells of fewer has just started, or
+/// lost the answer to its first message.
+const FEW_ROWS: usize = 3;
+
 /// Peers of a failure domain that pass messages on within it. Each message gets there twice, so that
 /// one lost datagram or dead relay makes no difference.
 const RELAYS: usize = 2;
 
-/// Beats of which one is also sent to a seed or a silent peer.
+/// Beats of which a messenger also sends one to a seed or a silent peer.
 const REVIVE_EVERY: u64 = 4;
 
 /// What is told of an entry.
@@ -72,10 +81,28 @@
     live: bool,
 }
 
+/// Where a message goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// To the own failure domain, or to an entry that knows few others.
+    Near,
+    /// To another failure domain. Few messages go there, and it knows its own entries best.
+    Far,
+}
+
+/// Who is sent a beat.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Targets {
+    /// Entries that are sent the rows for [`Audience::Near`].
+    pub near: Vec<Ipv4Addr>,
+    /// Entries that are sent the rows for [`Audience::Far`].
+    pub far: Vec<Ipv4Addr>,
+}
+
 /// What changed when a message was taken in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct News {
-    /// The sender is new here, so it may know few others and should be sent [`Peers::rows`].
+    /// The sender is new here or knows few others, so it should be sent [`Peers::rows`].
     pub answer: bool,
 }
 
@@ -125,19 +152,24 @@
     }
 
     /// Counts a beat and says to whom to send the result of [`Peers::rows`].
-    pub fn beat(&self, now: Instant, random: &impl Random) -> Vec<Ipv4Addr> {
+    pub fn beat(&self, now: Instant, random: &impl Random) -> Targets {
         let mut table = self.table.lock();
         table.own.beat += 1;
         table.update(now);
-        let mut targets = table.targets(true, NEAR_FANOUT, now, random);
-        if pick(random, table.near(now).count() + 1) < FAR_MESSAGES {
-            targets.extend(table.targets(false, 1, now, random));
-        }
-        let revive = table.own.beat.is_multiple_of(REVIVE_EVERY) || targets.len() < 2;
-        if revive && let Some(ip) = table.silent(now, random) {
-            targets.push(ip);
+        let mut near = table.targets(true, NEAR_FANOUT, now, random);
+        let messenger = pick(random, table.near(now).count() + 1) < MESSENGERS;
+        let far = match messenger {
+            true => table.targets(false, 1, now, random),
+            false => Vec::new(),
+        };
+        let due = messenger && table.own.beat.is_multiple_of(REVIVE_EVERY);
+        let lonely = near.len() + far.len() < 2;
+        if (due || lonely)
+            && let Some(ip) = table.silent(now, random)
+        {
+            near.push(ip);
         }
-        targets
+        Targets { near, far }
     }
 
     /// The seeds, other than the own entry.
@@ -147,17 +179,22 @@
     }
 
     /// What to tell a peer: the own row first, then those of the others, roughly the latest signs of
-    /// life first.
-    pub fn rows(&self, now: Instant, random: &impl Random) -> Vec<Row> {
+    /// life first. Another failure domain is told mostly of the entries of this one.
+    pub fn rows(&self, to: Audience, now: Instant, random: &impl Random) -> Vec<Row> {
         let table = self.table.lock();
         let span = u64::try_from(MIXED.as_nanos()).unwrap_or(u64::MAX);
-        let mut known: Vec<(Duration, &Peer)> = table
+        let key = |peer: &Peer| {
+            let age = now.since(peer.heard) + Duration::from_nanos(random.below(span));
+            let foreign = to == Audience::Far && peer.row.domain != table.own.domain;
+            if foreign { age + FOREIGN } else { age }
+        };
+        let mut known: Vec<_> = table
             .peers
             .iter()
             .filter(|peer| now.since(peer.heard) < SILENT_AFTER)
-            .map(|peer| (now.since(peer.heard) + Duration::from_nanos(random.below(span)), peer))
+            .map(|peer| (key(peer), peer))
             .collect();
-        known.sort_by_key(|(age, _)| *age);
+        known.sort_by_key(|(key, _)| *key);
         let others = known.into_iter().map(|(_, peer)| peer.row.clone());
         std::iter::once(table.own.clone()).chain(others).take(MAX_ROWS).collect()
     }
@@ -167,11 +204,14 @@
     pub fn hear(&self, from: Ipv4Addr, rows: impl IntoIterator<Item = Row>, now: Instant) -> News {
         let mut table = self.table.lock();
         let mut news = News::default();
+        let mut told = 0;
         for row in rows {
+            told += 1;
             let sender = row.ip == from;
             let joined = table.merge(row, from, now);
             news.answer |= sender && joined;
         }
+        news.answer |= told < FEW_ROWS && table.live(now).count() >= FEW_ROWS;
         news
     }
 
--- a/crates/core/tests/direct_peers.rs
+++ b/crates/core/tests/direct_peers.rs
@@ -11,6 +11,7 @@
 use crate::direct_support::at;
 use crate::direct_support::ms;
 use crate::direct_support::row;
+use jackdawpin_core::direct::peers::Audience;
 use jackdawpin_core::direct::peers::BEAT;
 use jackdawpin_core::direct::peers::Peers;
 use jackdawpin_core::direct::peers::Row;
@@ -67,8 +68,11 @@
             for from in 0..self.entries.len() {
                 let Some(sender) = &self.entries[from] else { continue };
                 let targets = sender.beat(self.now, &self.random);
-                let rows = sender.rows(self.now, &self.random);
-                for target in targets {
+                let near = sender.rows(Audience::Near, self.now, &self.random);
+                let far = sender.rows(Audience::Far, self.now, &self.random);
+                let near = targets.near.iter().map(|target| (*target, &near));
+                let far = targets.far.iter().map(|target| (*target, &far));
+                for (target, rows) in near.chain(far) {
                     let to = usize::from(target.octets()[3]);
                     let domains = usize::from(self.domains);
                     self.far += u32::from(from % domains != to % domains);
@@ -79,7 +83,11 @@
                     let source = ip(u8::try_from(from).unwrap());
                     let news = receiver.hear(source, rows.clone(), self.now);
                     if news.answer && self.reach(to, from) {
-                        sender.hear(target, receiver.rows(self.now, &self.random), self.now);
+                        sender.hear(
+                            target,
+                            receiver.rows(Audience::Near, self.now, &self.random),
+                            self.now,
+                        );
                     }
                 }
             }
@@ -152,7 +160,7 @@
     mesh.entries[5] = None;
     mesh.entries[6].as_ref().unwrap().leave();
     mesh.run(900);
-    let rows = mesh.entries[6].as_ref().unwrap().rows(mesh.now, &mesh.random);
+    let rows = mesh.entries[6].as_ref().unwrap().rows(Audience::Near, mesh.now, &mesh.random);
     for entry in mesh.entries.iter().flatten() {
         entry.hear(ip(6), rows.clone(), mesh.now);
         let offered = entry.offered("a", 100, mesh.now);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
 use super::feeder::Feeder;
 use crate::exchange::Client;
 use jackdawpin_core::direct::feed::READER;
+use jackdawpin_core::direct::peers::Audience;
 use jackdawpin_core::direct::peers::BEAT;
 use jackdawpin_core::lock::Mutex;
 use jackdawpin_core::lock::Rank;
@@ -102,7 +103,7 @@
     }
 
     async fn join(&self) {
-        let message = self.own_beat();
+        let message = self.own_beat(Audience::Near);
         for seed in self.flow.peers.seeds() {
             self.send(&message, seed).await;
         }
@@ -110,7 +111,7 @@
 
     /// Tells all live entries at once that this one leaves.
     pub(super) async fn say_leaving(&self) {
-        let message = self.own_beat();
+        let message = self.own_beat(Audience::Near);
         for ip in self.flow.peers.live(self.now()) {
             self.send(&message, ip).await;
         }
@@ -157,9 +158,9 @@
             }
             last = now;
             let targets = self.flow.peers.beat(now, self.flow.random());
-            let message = self.own_beat();
-            for ip in targets {
-                self.send(&message, ip).await;
+            self.send_all(&self.own_beat(Audience::Near), &targets.near).await;
+            if !targets.far.is_empty() {
+                self.send_all(&self.own_beat(Audience::Far), &targets.far).await;
             }
         }
     }
@@ -186,7 +187,7 @@
         match message {
             wire::Datagram::Beat(beat) => {
                 if self.flow.peers.hear(from, convert::rows(&beat), now).answer {
-                    self.send(&self.own_beat(), from).await;
+                    self.send(&self.own_beat(Audience::Near), from).await;
                 }
             }
             wire::Datagram::News(news) => {
@@ -262,8 +263,8 @@
         }
     }
 
-    fn own_beat(&self) -> wire::Datagram {
-        let rows = self.flow.peers.rows(self.now(), self.flow.random());
+    fn own_beat(&self, to: Audience) -> wire::Datagram {
+        let rows = self.flow.peers.rows(to, self.now(), self.flow.random());
         wire::Datagram::Beat(convert::beat(&rows))
     }
 
