Keep the future of a request only while it is served

hyper reserves room for the service's future with each connection, and the future of a request is about 9 KB.

--- a/crates/daemon/src/listen/drive.rs
+++ b/crates/daemon/src/listen/drive.rs
@@ -67,12 +67,14 @@
     let call = service_fn(move |request| {
         let progress = Arc::clone(&shared);
         progress.enter(Phase::Service);
-        async move {
+        // hyper keeps room for the future of a request as long as the connection is open. Boxed, it
+        // takes memory only while a request is served.
+        Box::pin(async move {
             let mut context = context;
             let response = service.call(&mut context, request).await;
             progress.enter(Phase::Response);
             response
-        }
+        })
     });
     let io = TokioIo::new(Watched::new(stream, Arc::clone(&progress)));
     let connection = http1::Builder::new()
