Get the items from a seed when an entry starts again

An entry that starts while the system runs now asks its seeds first, 30 ms each, and takes items that were proved up to date within the time for which any entry trusts its peers. If no later proof comes it reads the store as soon as the others would, since its silence is counted from that proof.

Asking peers over HTTP is a file of its own.

--- a/crates/core/src/direct/feed.rs
+++ b/crates/core/src/direct/feed.rs
@@ -71,6 +71,12 @@
     rank.is_some_and(|rank| rank < READERS + usize::try_from(TURNS).unwrap_or(usize::MAX))
 }
 
+/// Whether items that were proved up to date `age` ago are recent enough to start with. An entry that
+/// has them reads the store as soon as any other one that hears no later proof.
+pub fn is_recent(age: Duration) -> bool {
+    age <= TRUST
+}
+
 /// Pause after the `failures`th call in a row that the store did not answer, before any jitter. All
 /// entries lose a store that is away and ask it in vain; those that pass nothing on hear of its
 /// return from the others, and ask half as often.
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -8,15 +8,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use http::Request;
-use http_body_util::Full;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
 use super::Flow;
 use super::convert;
 use super::feeder::Feeder;
+use super::feeds::Feeds;
 use crate::exchange::Client;
+use jackdawpin_core::direct::feed;
 use jackdawpin_core::direct::feed::READER;
 use jackdawpin_core::direct::peers::Audience;
 use jackdawpin_core::direct::peers::BEAT;
@@ -33,8 +33,9 @@
 /// Time for the answer of a peer that is asked for changes.
 const FETCH_TIME: Duration = Duration::from_millis(1_000);
 
-/// Largest state of the platform's store that a peer passes on, in bytes.
-const MAX_STATE: usize = 8 << 20;
+/// Time for the answer of a seed that is asked for all items. If none of the seeds lives, the entry
+/// serves this much later for each of them.
+const SEED_TIME: Duration = Duration::from_millis(30);
 
 /// Wait before changes are fetched from an entry that may have to fetch them first, and the span over
 /// which the questions to it are spread.
@@ -59,8 +60,9 @@
 pub(super) struct Exchange {
     flow: Arc<Flow>,
     socket: UdpSocket,
-    client: Arc<Client>,
-    ports: Ports,
+    feeds: Feeds,
+    /// Port of the datagrams.
+    port: u16,
     own: Ipv4Addr,
     /// The revisions that the last two messages reached. A message starts from the older one, so
     /// that one that is lost is made up for by the next.
@@ -84,8 +86,8 @@
         Ok(Self {
             flow,
             socket: UdpSocket::bind((own, ports.datagrams)).await?,
-            client,
-            ports,
+            feeds: Feeds::new(client, ports.control),
+            port: ports.datagrams,
             own,
             passed: Mutex::new(Rank::Connections, [0; 2]),
             fetching: AtomicBool::new(false),
@@ -236,25 +238,29 @@
         });
     }
 
+    /// Asks the seeds for all items, so that an entry that starts among others need not read them
+    /// from the store. False if none of them knows the latest ones.
+    pub(super) async fn fetch_first(&self, feeder: &Feeder) -> bool {
+        for seed in self.flow.peers.seeds() {
+            match self.feeds.changes(seed, 0, SEED_TIME).await {
+                Ok(delta) if delta.to > 0 && feed::is_recent(delta.age) => {
+                    log::info!("event=fetch peer={seed} from={} to={}", delta.from, delta.to);
+                    return feeder.take(delta, self.now());
+                }
+                Ok(delta) => log::info!(
+                    "event=fetch peer={seed} to={} age_ms={} taken=false",
+                    delta.to,
+                    delta.age.as_millis()
+                ),
+                Err(err) => log::info!("event=fetch peer={seed} error=\"{err}\""),
+            }
+        }
+        false
+    }
+
     async fn fetch(&self, peer: Ipv4Addr, feeder: &Feeder) {
-        let address = SocketAddr::from((peer, self.ports.control));
-        let path = format!("{}?since={}", wire::path::FEED, feeder.at());
-        let request = Request::get(path).header(http::header::HOST, address.to_string());
-        let request = match request.body(Full::default()) {
-            Ok(request) => request,
-            Err(err) => return log::error!("event=fetch peer={peer} error=\"{err}\""),
-        };
-        let sent = self.now();
-        let exchange = self.client.exchange(address, request, FETCH_TIME, MAX_STATE, |_| true);
-        let response = match exchange.await {
-            Ok(response) => response,
-            Err(err) => return log::warn!("event=fetch peer={peer} error=\"{err}\""),
-        };
-        match wire::decode::<wire::Delta>(response.body()) {
+        match self.feeds.changes(peer, feeder.at(), FETCH_TIME).await {
             Ok(delta) => {
-                let mut delta = convert::changes(delta);
-                // The peer may have answered right after the question.
-                delta.age += self.now().since(sent);
                 let (from, to) = (delta.from, delta.to);
                 let taken = feeder.take(delta, self.now());
                 log::info!("event=fetch peer={peer} from={from} to={to} taken={taken}");
@@ -282,7 +288,7 @@
             Ok(bytes) => bytes,
             Err(err) => return log::error!("event=datagram error=\"{err}\""),
         };
-        if let Err(err) = self.socket.send_to(&bytes, (to, self.ports.datagrams)).await {
+        if let Err(err) = self.socket.send_to(&bytes, (to, self.port)).await {
             log::debug!("event=datagram to={to} error=\"{err}\"");
         }
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! callers ([`front`]), the answers to callers that ask for addresses and to the platform's question
 //! whether the entry takes requests ([`directory`]), the connections to servers ([`backend`]), the
 //! reading of the platform's store ([`store`]), the exchange between entries ([`exchange`],
-//! [`control`]) and the settings file ([`reload`]). All names of the platform come from
+//! [`feeds`], [`control`]) and the settings file ([`reload`]). All names of the platform come from
 //! `jackdawpin-platform`.
 
 mod backend;
@@ -15,6 +15,7 @@
 mod error;
 mod exchange;
 mod feeder;
+mod feeds;
 mod front;
 mod journal;
 mod metrics;
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -115,11 +115,13 @@
     }
 
     /// Reads until `cancel`. If the whole system starts, most entries get the first items from the
-    /// few that read; if only this process starts, callers wait for it and it reads at once.
+    /// few that read; if only this process starts, it gets them from a seed, or reads at once.
     pub(super) async fn run(mut self, first_start: bool, cancel: CancellationToken) {
         let work = async {
             if first_start {
                 self.gather().await;
+            } else {
+                self.exchange.fetch_first(&self.feeder).await;
             }
             loop {
                 self.step().await;
@@ -146,8 +148,7 @@
         let now = self.now();
         let age = self.feeder.age(now);
         let rank = self.rank();
-        let silence = self.feeder.peer_age(now).unwrap_or(Duration::MAX);
-        let silence = silence.min(now.since(self.started));
+        let silence = self.feeder.peer_age(now).unwrap_or(now.since(self.started));
         let left = match age {
             None => Duration::ZERO,
             Some(_) => feed::patience(rank.unwrap_or(usize::MAX)).saturating_sub(silence),
