Ask a peer that is known to live for the items at a start

The entry now waits up to 25 ms for a sign of life, which seeds answer at once, and gives that peer, one of the own failure domain if possible, 250 ms. An entry whose history is gone waits 500 ms for a peer's list, because 38 of 95 still read the store themselves after 300 ms.

--- a/crates/core/src/direct/feed.rs
+++ b/crates/core/src/direct/feed.rs
@@ -50,7 +50,7 @@
 const MAX_DOUBLINGS: u32 = 3;
 
 /// Time in which an entry that reads a whole list has passed it on.
-const LIST_WAIT: Duration = Duration::from_millis(300);
+const LIST_WAIT: Duration = Duration::from_millis(500);
 
 /// Marks of ended items that are kept.
 const MAX_MARKS: usize = 512;
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -33,9 +33,15 @@
 /// Time for the answer of a peer that is asked for changes.
 const FETCH_TIME: Duration = Duration::from_millis(1_000);
 
-/// Time for the answer of a seed that is asked for all items. If none of the seeds lives, the entry
-/// serves this much later for each of them.
-const SEED_TIME: Duration = Duration::from_millis(30);
+/// How long an entry that starts again waits for a sign of life of a peer: several round trips within
+/// a region. If no peer lives, the entry serves this much later.
+const FIRST_SIGN: Duration = Duration::from_millis(25);
+
+/// Time between two looks for one.
+const SIGN_LOOK: Duration = Duration::from_millis(2);
+
+/// Time for the answer of a peer that is asked for all items, which fills a small link for a while.
+const FIRST_TIME: Duration = Duration::from_millis(250);
 
 /// Wait before changes are fetched from an entry that may have to fetch them first, and the span over
 /// which the questions to it are spread.
@@ -238,24 +244,40 @@
         });
     }
 
-    /// Asks the seeds for all items, so that an entry that starts among others need not read them
-    /// from the store. False if none of them knows the latest ones.
-    pub(super) async fn fetch_first(&self, feeder: &Feeder) -> bool {
-        for seed in self.flow.peers.seeds() {
-            match self.feeds.changes(seed, 0, SEED_TIME).await {
-                Ok(delta) if delta.to > 0 && feed::is_recent(delta.age) => {
-                    log::info!("event=fetch peer={seed} from={} to={}", delta.from, delta.to);
-                    return feeder.take(delta, self.now());
-                }
-                Ok(delta) => log::info!(
-                    "event=fetch peer={seed} to={} age_ms={} taken=false",
-                    delta.to,
-                    delta.age.as_millis()
-                ),
-                Err(err) => log::info!("event=fetch peer={seed} error=\"{err}\""),
+    /// Asks a peer for all items, so that an entry that starts among others need not read them from
+    /// the store. Nothing is taken if no peer answers soon, or if what it knows may be out of date.
+    pub(super) async fn fetch_first(&self, feeder: &Feeder) {
+        let Some(peer) = self.first_peer().await else {
+            return;
+        };
+        match self.feeds.changes(peer, 0, FIRST_TIME).await {
+            Ok(delta) => {
+                let (to, age_ms) = (delta.to, delta.age.as_millis());
+                let taken = to > 0 && feed::is_recent(delta.age) && feeder.take(delta, self.now());
+                log::info!("event=fetch peer={peer} from=0 to={to} age_ms={age_ms} taken={taken}");
+            }
+            Err(err) => log::warn!("event=fetch peer={peer} error=\"{err}\""),
+        }
+    }
+
+    /// A peer that has shown a sign of life, one of the own failure domain if there is one.
+    async fn first_peer(&self) -> Option<Ipv4Addr> {
+        let end = self.now() + FIRST_SIGN;
+        loop {
+            let now = self.now();
+            let near = self.flow.peers.near(now);
+            let live = || self.flow.peers.live(now).into_iter().filter(|ip| *ip != self.own);
+            let found: Vec<Ipv4Addr> = if near.is_empty() { live().collect() } else { near };
+            let bound = u64::try_from(found.len()).unwrap_or(u64::MAX);
+            let index = usize::try_from(self.flow.random().below(bound)).unwrap_or(0);
+            if let Some(peer) = found.get(index) {
+                return Some(*peer);
+            }
+            if now >= end {
+                return None;
             }
+            tokio::time::sleep(SIGN_LOOK).await;
         }
-        false
     }
 
     async fn fetch(&self, peer: Ipv4Addr, feeder: &Feeder) {
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -115,7 +115,7 @@
     }
 
     /// Reads until `cancel`. If the whole system starts, most entries get the first items from the
-    /// few that read; if only this process starts, it gets them from a seed, or reads at once.
+    /// few that read; if only this process starts, it gets them from a peer, or reads at once.
     pub(super) async fn run(mut self, first_start: bool, cancel: CancellationToken) {
         let work = async {
             if first_start {
