Keep an entry's share of a server's connections

The number of connections that a server accepts from all entries was read from the configuration and used nowhere; each entry kept up to 16 to each server, 1,584 for 99 entries where 860 are accepted. An entry now keeps its share of half of them, at least 1 and at most 16.

direct_flow.rs: kept_connections, connections_of_the_plan; exchange.rs: no_more_connections_are_kept_than_told.

--- a/crates/core/src/direct/flow/find.rs
+++ b/crates/core/src/direct/flow/find.rs
@@ -11,6 +11,7 @@
 use super::Call;
 use super::Flow;
 use crate::direct::cold;
+use crate::direct::connections;
 use crate::direct::fleet;
 use crate::direct::fleet::Asked;
 use crate::direct::fleet::Candidate;
@@ -156,14 +157,24 @@
 
     fn probe_width(&self, now: Instant) -> usize {
         if self.accounts.lock().probes.is_due(now) {
-            let entries = self.peers.count(now);
-            let rate = self.bounds.lock().probe_rate;
-            let (usable, _) = self.fleet.counts(now);
-            self.accounts.lock().probes.fill(now, rate, usable, entries);
+            self.take_shares(now);
         }
         self.accounts.lock().probes.width()
     }
 
+    /// Works out this entry's shares of what all entries together may do.
+    fn take_shares(&self, now: Instant) {
+        let entries = self.peers.count(now);
+        let rate = self.bounds.lock().probe_rate;
+        let (usable, _) = self.fleet.counts(now);
+        self.accounts.lock().probes.fill(now, rate, usable, entries);
+        let plan = self.plan();
+        let services = plan.iter().flat_map(|plan| &plan.services);
+        if let Some(connections) = services.map(|service| service.connections).min() {
+            self.backend.keep(connections::kept(connections, entries));
+        }
+    }
+
     /// A probe in a task of its own: its answer is of use for other requests even if this one does
     /// not wait for it, and its connection is kept.
     fn spawn_probe(
--- a/crates/core/src/direct/port.rs
+++ b/crates/core/src/direct/port.rs
@@ -70,6 +70,9 @@
     /// future closes the connection.
     fn send(&self, attempt: Attempt<'_>) -> impl Future<Output = Verdict> + Send;
 
+    /// Keeps at most `most` unused connections to each server from now on.
+    fn keep(&self, most: usize);
+
     /// Asks the server at `address` for its load. `None` if it gives no answer within `timeout`.
     fn probe(
         &self,
--- a/crates/core/tests/direct_flow.rs
+++ b/crates/core/tests/direct_flow.rs
@@ -23,6 +23,7 @@
 use crate::direct_support::route;
 use crate::direct_support::row;
 use crate::direct_support::server;
+use jackdawpin_core::direct::connections;
 use jackdawpin_core::direct::flow::Call;
 use jackdawpin_core::direct::flow::Ended;
 use jackdawpin_core::direct::plan::Route;
@@ -376,3 +377,27 @@
     }
     assert!(hedged > 0, "no seed sent to both servers");
 }
+
+/// Guards against entries that together keep more unused connections than a server accepts, so that
+/// it resets those that are needed, and against entries that open one for each request.
+#[rstest]
+#[case(1, 16)]
+#[case(16, 7)]
+#[case(99, 1)]
+#[case(1_000, 1)]
+fn kept_connections(#[case] entries: usize, #[case] expected: usize) {
+    assert_eq!(connections::kept(240, entries), expected);
+}
+
+/// Guards against a limit of connections that is read and not kept.
+#[tokio::test(start_paused = true)]
+async fn connections_of_the_plan() {
+    let doubles = Doubles::default();
+    let flow = entry(&doubles, &[Manner::Answer(200, WORK)], 1);
+    for number in 2..=20 {
+        let peer = row(number, "a");
+        flow.peers.hear(peer.ip, [peer], flow.clock().now());
+    }
+    serve(&flow, "1", &route(true)).await;
+    assert_eq!(doubles.0.lock().unwrap().kept, Some(6));
+}
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -159,6 +159,8 @@
     /// Runs of each request.
     pub runs: HashMap<String, u32>,
     pub probes: u32,
+    /// Unused connections that are kept to each server.
+    pub kept: Option<usize>,
     /// Attempts whose future was dropped before its answer.
     pub dropped: u32,
 }
@@ -225,6 +227,10 @@
         verdict
     }
 
+    fn keep(&self, most: usize) {
+        self.0.lock().unwrap().kept = Some(most);
+    }
+
     async fn probe(&self, address: SocketAddr, _: &str, timeout: Duration) -> Option<Probe> {
         self.0.lock().unwrap().probes += 1;
         let double = self.0.lock().unwrap().doubles.get(&address).cloned();
--- a/crates/daemon/src/exchange/idle.rs
+++ b/crates/daemon/src/exchange/idle.rs
@@ -1,5 +1,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,9 +12,9 @@
 use jackdawpin_core::lock::Mutex;
 use jackdawpin_core::lock::Rank;
 
-/// Connections kept per address. A server has a few slots and about 250 connections for all
-/// entries, so an entry keeps a small share of them.
-const MAX_PER_ADDRESS: usize = 16;
+/// Connections kept per address unless the client is told otherwise. A server has a few slots and
+/// about 250 connections for all entries, so an entry keeps a small share of them.
+const DEFAULT_KEPT: usize = 16;
 
 /// Time after which an unused connection is closed. It is below the usual idle timeout of servers,
 /// so that they rarely close a connection just as a request is sent on it.
@@ -33,16 +35,23 @@
 /// Connections without an exchange, the most recently used last.
 #[derive(Debug)]
 pub(super) struct Idle {
+    /// Connections kept per address.
+    kept: AtomicUsize,
     hosts: Mutex<HashMap<SocketAddr, Vec<Unused>>>,
 }
 
 impl Default for Idle {
     fn default() -> Self {
-        Self { hosts: Mutex::new(Rank::Connections, HashMap::new()) }
+        let hosts = Mutex::new(Rank::Connections, HashMap::new());
+        Self { kept: AtomicUsize::new(DEFAULT_KEPT), hosts }
     }
 }
 
 impl Idle {
+    pub(super) fn keep(&self, most: usize) {
+        self.kept.store(most, Ordering::Relaxed);
+    }
+
     pub(super) fn take(&self, address: SocketAddr) -> Option<Sender> {
         let mut hosts = self.hosts.lock();
         let unused = hosts.get_mut(&address)?;
@@ -65,7 +74,7 @@
         }
         let unused = hosts.entry(address).or_default();
         unused.retain(Unused::usable);
-        if unused.len() < MAX_PER_ADDRESS {
+        if unused.len() < self.kept.load(Ordering::Relaxed) {
             unused.push(Unused { sender, since: Instant::now() });
         }
     }
--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -77,6 +77,11 @@
         Self { idle: Idle::default(), budget, traffic }
     }
 
+    /// Keeps at most `most` unused connections to each address from now on.
+    pub fn keep(&self, most: usize) {
+        self.idle.keep(most);
+    }
+
     /// Sends a request and returns its whole answer, which has at most `limit` bytes of body. The
     /// connection is used again only if `belongs` finds that the answer is one to this request:
     /// otherwise the other end may be out of step.
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -75,6 +75,10 @@
         }
     }
 
+    fn keep(&self, most: usize) {
+        self.client.keep(most);
+    }
+
     async fn probe(&self, address: SocketAddr, path: &str, timeout: Duration) -> Option<Probe> {
         let request = Request::get(path)
             .header(http::header::HOST, address.to_string())
--- a/crates/daemon/tests/exchange.rs
+++ b/crates/daemon/tests/exchange.rs
@@ -301,3 +301,24 @@
         stand.wait("0 closed by the other end").await;
     }
 }
+
+/// Guards against connections to a server that are kept beyond the entry's share of what the server
+/// accepts.
+#[tokio::test]
+async fn no_more_connections_are_kept_than_told() {
+    let twice = vec![Read, answer("a", "2", "", ""), Read, answer("a", "2", "", "")];
+    let stand = Stand::start(vec![twice]).await;
+    let client = Arc::new(Client::default());
+    client.keep(1);
+    let upstream = Upstream::new(client, Boot);
+    for _ in 0..2 {
+        let sends = [(); 3].map(|()| send(&upstream, stand.address, "a", LIMIT));
+        let [first, second, third] = sends;
+        tokio::join!(first, second, third);
+        sleep(SETTLE).await;
+    }
+    // One of the first three is used again.
+    assert_eq!(stand.connections(), 5);
+    let closed = stand.log().iter().filter(|entry| entry.contains("closed")).count();
+    assert_eq!(closed, 4, "{:?}", stand.log());
+}
