--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Messages come through the `log` crate; fern filters them by level, and [`line`] encodes them as
 //! text or JSON. A [`Writer`] thread writes the lines. A reader of stdout that is slow or gone must
-//! not hold up requests, so lines go to the thread through a bounded queue: when it is full, lines
-//! are dropped and their number is logged.
+//! not hold up requests, so lines go to the thread through a bounded queue: when it is full, or when
+//! there are too many lines over a longer time, lines are dropped and their number is logged.
 
 mod line;
 mod writer;
@@ -53,7 +53,8 @@
     let note = move |lines| {
         let mut record = Record::builder();
         record.level(Level::Warn).target(module_path!());
-        let message = format_args!("{lines} log lines were dropped: stdout is read too slowly");
+        let message =
+            format_args!("{lines} log lines were dropped: too many, or stdout is read too slowly");
         let record = record.args(message).build();
         Line { time: SystemTime::now(), vm: &noted, record: &record }.encode(log.format)
     };
--- a/crates/daemon/src/logs/writer.rs
+++ b/crates/daemon/src/logs/writer.rs
@@ -14,16 +14,48 @@
 use std::sync::mpsc::sync_channel;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Lines that wait to be written. At 200 bytes a line this is about 200 KB.
 const QUEUE_LINES: usize = 1024;
 
+/// Lines a second over a longer time. At 250 bytes a line this is 100 KB a second, a tenth of the
+/// smallest link of an entry VM.
+const LINES_PER_SECOND: f64 = 400.0;
+
 /// Longest wait for the queued lines at the end of the program.
 const FLUSH_TIME: Duration = Duration::from_secs(1);
 
+/// How many lines may be queued now. A flood, such as of datagrams that cannot be read, must not
+/// cost an entry its processor time or its link.
+struct Allowance {
+    lines: f64,
+    at: Instant,
+}
+
+impl Default for Allowance {
+    fn default() -> Self {
+        Self { lines: QUEUE_LINES as f64, at: Instant::now() }
+    }
+}
+
+impl Allowance {
+    fn take(&mut self, now: Instant) -> bool {
+        let earned = now.saturating_duration_since(self.at).as_secs_f64() * LINES_PER_SECOND;
+        self.lines = (self.lines + earned).min(QUEUE_LINES as f64);
+        self.at = now;
+        if self.lines < 1.0 {
+            return false;
+        }
+        self.lines -= 1.0;
+        true
+    }
+}
+
 /// Numbers of lines.
 #[derive(Default)]
 struct Counts {
+    allowance: Mutex<Allowance>,
     /// Lines queued since the start.
     queued: AtomicU64,
     /// Lines dropped since the last note about it.
@@ -48,8 +80,13 @@
 }
 
 impl Queue {
-    /// Queues a line, or drops it if the queue is full.
+    /// Queues a line, or drops it if there are too many or the queue is full.
     pub(super) fn push(&self, line: String) {
+        let allowance = &self.counts.allowance;
+        if !allowance.lock().unwrap_or_else(PoisonError::into_inner).take(Instant::now()) {
+            self.counts.dropped.fetch_add(1, SeqCst);
+            return;
+        }
         match self.sender.try_send(line) {
             Ok(()) => self.counts.queued.fetch_add(1, SeqCst),
             Err(_) => self.counts.dropped.fetch_add(1, SeqCst),
@@ -82,7 +119,8 @@
         Ok(Self { queue })
     }
 
-    /// Queues a line, which has its line break, or drops it if the queue is full.
+    /// Queues a line, which has its line break, or drops it if there are too many or the queue is
+    /// full.
     pub fn push(&self, line: String) {
         self.queue.push(line);
     }
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -99,6 +99,31 @@
     assert_eq!(lines + dropped, 2000);
 }
 
+/// Guards against a flood of lines that costs the entry its processor time and its link: over a longer
+/// time there are at most 400 a second, and what is left out is counted.
+#[test]
+fn flood_is_bounded() {
+    let output = Output::default();
+    let writer = Writer::start(output.clone(), note).unwrap();
+    let begun = std::time::Instant::now();
+    for _ in 0..200 {
+        for _ in 0..100 {
+            writer.push("line\n".to_owned());
+        }
+        std::thread::sleep(std::time::Duration::from_millis(2));
+    }
+    std::thread::sleep(std::time::Duration::from_millis(20));
+    writer.push("last\n".to_owned());
+    let seconds = begun.elapsed().as_secs_f64();
+    drop(writer);
+    let text = text(&output);
+    let lines = text.lines().filter(|line| !line.ends_with(" dropped")).count();
+    let notes = text.lines().filter_map(|line| line.strip_suffix(" dropped"));
+    let dropped: usize = notes.map(|count| count.parse::<usize>().unwrap()).sum();
+    assert_eq!(lines + dropped, 20_001);
+    assert!(lines as f64 <= 1_024.0 + 400.0 * seconds + 1.0, "{lines} lines in {seconds} s");
+}
+
 /// Fails each write.
 struct Closed;
 
--- a/crates/testkit/src/fleet/process.rs
+++ b/crates/testkit/src/fleet/process.rs
@@ -64,12 +64,29 @@
     ) -> Result<Self, Error> {
         let opened = File::options().create(true).append(true).open(log);
         let file = opened.context(format!("opening {}", log.display()))?;
-        let errors = file.try_clone().context(format!("opening {}", log.display()))?;
+        Self::start_into(name, program, arguments, variables, (log, file.into()))
+    }
+
+    /// Starts a program with environment variables. Its standard error goes to a log file, its
+    /// standard output elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started or the log file not be opened.
+    pub fn start_into(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        variables: &[(&str, &str)],
+        (log, output): (&Path, Stdio),
+    ) -> Result<Self, Error> {
+        let opened = File::options().create(true).append(true).open(log);
+        let errors = opened.context(format!("opening {}", log.display()))?;
         let started = Command::new(program)
             .args(arguments)
             .envs(variables.iter().copied())
             .stdin(Stdio::null())
-            .stdout(file)
+            .stdout(output)
             .stderr(errors)
             .spawn();
         let child = started.context(format!("starting {}", program.display()))?;
