Name every attempt of a request in its log line

The line of a request told the last server tried only; earlier attempts were logged at a level that the entry never writes, so a retried request could not be explained. tries=SERVER:VERDICT,... lists all of them, also one that was dropped because another server had answered.

--- a/crates/core/src/direct/flow/call.rs
+++ b/crates/core/src/direct/flow/call.rs
@@ -1,10 +1,14 @@
+use std::fmt;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use super::END_MARGIN;
 use crate::direct::fleet::Asked;
 use crate::direct::fleet::Pick;
 use crate::direct::plan::Route;
 use crate::direct::port::Verdict;
+use crate::name;
 use crate::outcome::Answer;
 use crate::outcome::Doubt;
 use crate::outcome::Outcome;
@@ -55,6 +59,21 @@
     }
 }
 
+/// An attempt, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Try {
+    /// The server.
+    pub server: name::Vm,
+    /// What the attempt proved; `dropped` if another server answered first.
+    pub verdict: &'static str,
+}
+
+impl fmt::Display for Try {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.server, self.verdict)
+    }
+}
+
 /// How a request ended, and what led to it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ended {
@@ -68,8 +87,8 @@
     pub hedged: bool,
     /// The last server tried, and the report that it was chosen by.
     pub last: Option<Pick>,
-    /// What the last attempt proved.
-    pub verdict: &'static str,
+    /// All attempts, in the order in which they ended.
+    pub tries: SmallVec<[Try; 2]>,
     /// The shortest expected time of the servers asked last, if it was too long.
     pub best: Option<Duration>,
 }
@@ -85,7 +104,7 @@
     pub(super) failed: Option<Answer>,
     pub(super) hedged: bool,
     pub(super) pick: Option<Pick>,
-    pub(super) last: &'static str,
+    pub(super) tries: SmallVec<[Try; 2]>,
     pub(super) best: Option<Duration>,
 }
 
@@ -100,17 +119,10 @@
     }
 
     /// Notes what an attempt proved, and returns the answer if it is a good one.
-    pub(super) fn note(&mut self, id: &str, pick: &Pick, verdict: Verdict) -> Option<Answer> {
+    pub(super) fn note(&mut self, pick: &Pick, verdict: Verdict) -> Option<Answer> {
         self.tried.push(pick.server.clone());
         self.pick = Some(pick.clone());
-        self.last = verdict.as_str();
-        log::debug!(
-            "event=attempt id={id} server={} expected_ms={} report_age_ms={} verdict={}",
-            pick.server,
-            pick.expected.as_millis(),
-            pick.age.as_millis(),
-            self.last
-        );
+        self.tries.push(Try { server: pick.server.clone(), verdict: verdict.as_str() });
         match verdict {
             Verdict::NotSent => self.refused_sends += 1,
             _ => self.sends += 1,
@@ -125,17 +137,28 @@
         None
     }
 
+    /// Notes that the attempt at `pick` is dropped, because another server has answered. It has
+    /// reached its server as well.
+    pub(super) fn drop_attempt(&mut self, pick: &Pick) {
+        self.tries.push(Try { server: pick.server.clone(), verdict: "dropped" });
+        self.sends += 1;
+    }
+
     /// The end without a good answer: what a server answered, if one did; else unknown, if one may
     /// have run the request; else `refusal`, which says that none did.
     pub(super) fn close(&mut self, refusal: Refusal) -> Outcome {
         match self.failed.take() {
             Some(answer) => Outcome::Answered(answer),
-            None if self.doubt && self.last == "timeout" => Outcome::Unknown(Doubt::Timeout),
+            None if self.doubt && self.timed_out() => Outcome::Unknown(Doubt::Timeout),
             None if self.doubt => Outcome::Unknown(Doubt::Broken),
             None => Outcome::Refused(refusal),
         }
     }
 
+    fn timed_out(&self) -> bool {
+        self.tries.last().is_some_and(|last| last.verdict == Verdict::TIMEOUT)
+    }
+
     pub(super) fn end(self, outcome: Outcome, random: &impl Random) -> Ended {
         let spread = u64::try_from(COME_BACK_SPREAD.as_micros()).unwrap_or(u64::MAX);
         let come_back = COME_BACK + Duration::from_micros(random.below(spread));
@@ -145,7 +168,7 @@
             sends: self.sends,
             hedged: self.hedged,
             last: self.pick,
-            verdict: self.last,
+            tries: self.tries,
             best: self.best,
         }
     }
--- a/crates/core/src/direct/flow/hedge.rs
+++ b/crates/core/src/direct/flow/hedge.rs
@@ -67,17 +67,17 @@
         let started = self.clock.now();
         let mut first = std::pin::pin!(self.fly(call, service, pick));
         let Some(late) = self.hedge_at(call, trail, pick, started) else {
-            return trail.note(call.id, pick, first.await);
+            return trail.note(pick, first.await);
         };
         // The first server may answer while the second one is sought, and that answer goes out at
         // once.
         let second = tokio::select! {
             biased;
-            verdict = &mut first => return trail.note(call.id, pick, verdict),
+            verdict = &mut first => return trail.note(pick, verdict),
             second = self.second(late, call, service, pick, trail) => second,
         };
         let Some(second) = second else {
-            return trail.note(call.id, pick, first.await);
+            return trail.note(pick, first.await);
         };
         trail.hedged = true;
         let mut other = std::pin::pin!(self.fly(call, service, &second));
@@ -87,16 +87,11 @@
             verdict = &mut other => (verdict, false),
         };
         let ended = if is_first { pick } else { &second };
-        if let Some(answer) = trail.note(call.id, ended, verdict) {
-            // The attempt that is dropped has reached its server as well.
-            trail.sends += 1;
+        if let Some(answer) = trail.note(ended, verdict) {
+            trail.drop_attempt(if is_first { &second } else { pick });
             return Some(answer);
         }
-        if is_first {
-            trail.note(call.id, &second, other.await)
-        } else {
-            trail.note(call.id, pick, first.await)
-        }
+        if is_first { trail.note(&second, other.await) } else { trail.note(pick, first.await) }
     }
 
     /// When a second attempt is worth its load, if ever.
--- a/crates/core/src/direct/flow/mod.rs
+++ b/crates/core/src/direct/flow/mod.rs
@@ -38,6 +38,7 @@
 
 pub use self::call::Call;
 pub use self::call::Ended;
+pub use self::call::Try;
 
 /// Time before the end of a request's time at which a missing answer is given up, so that the
 /// caller's own answer still arrives in time.
--- a/crates/core/src/direct/port.rs
+++ b/crates/core/src/direct/port.rs
@@ -26,6 +26,9 @@
 }
 
 impl Verdict {
+    /// Why a request may have run whose answer did not come in time.
+    pub const TIMEOUT: &'static str = "timeout";
+
     /// The verdict as a word for the log.
     pub fn as_str(&self) -> &'static str {
         match self {
--- a/crates/core/tests/direct_flow.rs
+++ b/crates/core/tests/direct_flow.rs
@@ -140,6 +140,9 @@
         assert!(took <= ms(300), "seed {seed}: {took:?}");
         let dropped = doubles.0.lock().unwrap().dropped;
         assert_eq!(dropped, u32::from(ended.hedged), "the attempt that lost must end");
+        let verdicts: Vec<_> = ended.tries.iter().map(|attempt| attempt.verdict).collect();
+        let expected: &[_] = if ended.hedged { &["ran", "dropped"] } else { &["ran"] };
+        assert_eq!(verdicts, expected, "seed {seed}: an attempt is missing in the log");
     }
     assert!(hedged > 0, "no seed chose the silent server");
 }
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -173,7 +173,7 @@
         Error::Broken(_) => Verdict::MayHaveRun("connection_broken"),
         Error::Answer(_) => Verdict::MayHaveRun("answer_cut"),
         Error::Large(_) => Verdict::MayHaveRun("answer_too_large"),
-        Error::Timeout => Verdict::MayHaveRun("timeout"),
+        Error::Timeout => Verdict::MayHaveRun(Verdict::TIMEOUT),
     }
 }
 
--- a/crates/daemon/src/gateway/journal.rs
+++ b/crates/daemon/src/gateway/journal.rs
@@ -85,12 +85,15 @@
         };
         let mut head = format!(
             "event=request id={id} route={route} outcome={outcome} reason={reason} took_ms={} \
-             sends={} hedged={} last={}",
+             sends={} hedged={}",
             took.as_millis(),
             ended.sends,
             ended.hedged,
-            ended.verdict,
         );
+        for (number, attempt) in ended.tries.iter().enumerate() {
+            head.push_str(if number == 0 { " tries=" } else { "," });
+            head.push_str(&attempt.to_string());
+        }
         if let Some(best) = ended.best {
             head.push_str(&format!(" best_expected_ms={}", best.as_millis()));
         }
