Group the modules of the choice by holders

core held the modules of one way of choosing servers at its top level and those of the other under direct. Those of the choice by holders are now under holder, with the ports that only it needs; what both use stays at the top: names, requests, outcomes, time, locks, clock and random numbers. Only paths change.

--- a/crates/client/src/view/check.rs
+++ b/crates/client/src/view/check.rs
@@ -8,7 +8,7 @@
 use super::format;
 use super::format::clean;
 use super::value;
-use jackdawpin_core::config::Unknown;
+use jackdawpin_core::holder::config::Unknown;
 use jackdawpin_document::Fault;
 use jackdawpin_document::Faults;
 use jackdawpin_wire::Order;
--- a/crates/core/src/config/unknown.rs
+++ b/crates/core/src/holder/config/unknown.rs
@@ -3,8 +3,8 @@
 
 use super::Config;
 use super::Scope;
-use crate::member::List;
-use crate::member::Role;
+use crate::holder::member::List;
+use crate::holder::member::Role;
 use crate::name;
 
 /// A name in a configuration that a VM list does not have. The section that names it has no effect,
--- a/crates/core/src/control/beat.rs
+++ b/crates/core/src/holder/control/beat.rs
@@ -5,16 +5,16 @@
 
 use super::Control;
 use super::Hello;
-use crate::member::Capacity;
-use crate::member::Heartbeat;
-use crate::member::MAX_PEERS;
-use crate::member::Origin;
-use crate::member::Role;
-use crate::member::Vm;
+use crate::holder::member::Capacity;
+use crate::holder::member::Heartbeat;
+use crate::holder::member::MAX_PEERS;
+use crate::holder::member::Origin;
+use crate::holder::member::Role;
+use crate::holder::member::Vm;
+use crate::holder::port::Mesh;
+use crate::holder::port::Ports;
 use crate::name;
 use crate::port::Clock;
-use crate::port::Mesh;
-use crate::port::Ports;
 
 /// Time between two heartbeats to a peer. Three missed ones make it silent.
 const INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/core/src/control/claims.rs
+++ b/crates/core/src/holder/control/claims.rs
@@ -5,16 +5,16 @@
 use super::Claim;
 use super::Control;
 use super::Grant;
-use crate::event::Event;
-use crate::flow::Route;
-use crate::intent::Intent;
-use crate::lease::Batch;
-use crate::lease::Claimant;
-use crate::lease::Target;
+use crate::holder::event::Event;
+use crate::holder::flow::Route;
+use crate::holder::intent::Intent;
+use crate::holder::lease::Batch;
+use crate::holder::lease::Claimant;
+use crate::holder::lease::Target;
+use crate::holder::port::Mesh;
+use crate::holder::port::Ports;
+use crate::holder::rank;
 use crate::port::Clock;
-use crate::port::Mesh;
-use crate::port::Ports;
-use crate::rank;
 use crate::time::Instant;
 
 /// Time between two looks at which claims are due.
--- a/crates/core/src/control/document.rs
+++ b/crates/core/src/holder/control/document.rs
@@ -1,11 +1,11 @@
 use super::Control;
 use super::Kind;
-use crate::intent::Decision;
-use crate::intent::Order;
-use crate::intent::Source;
+use crate::holder::intent::Decision;
+use crate::holder::intent::Order;
+use crate::holder::intent::Source;
+use crate::holder::port::Ports;
+use crate::holder::port::Reader;
 use crate::port::Clock;
-use crate::port::Ports;
-use crate::port::Reader;
 use crate::time::Instant;
 
 impl<O: Ports> Control<O> {
--- a/crates/core/src/control/fetch.rs
+++ b/crates/core/src/holder/control/fetch.rs
@@ -2,15 +2,15 @@
 
 use super::Control;
 use super::Kind;
-use crate::intent::Decision;
-use crate::intent::FETCH_TIMEOUT;
-use crate::intent::Order;
-use crate::intent::Source;
+use crate::holder::intent::Decision;
+use crate::holder::intent::FETCH_TIMEOUT;
+use crate::holder::intent::Order;
+use crate::holder::intent::Source;
+use crate::holder::port::Mesh;
+use crate::holder::port::Ports;
+use crate::holder::port::Reader;
 use crate::name;
 use crate::port::Clock;
-use crate::port::Mesh;
-use crate::port::Ports;
-use crate::port::Reader;
 
 /// Time between two looks for newer documents. A fetch that failed is tried again then.
 const INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/core/src/control/holding.rs
+++ b/crates/core/src/holder/control/holding.rs
@@ -1,14 +1,14 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::config::Config;
-use crate::member::List;
-use crate::member::Role;
-use crate::member::State;
-use crate::member::Vm;
+use crate::holder::config::Config;
+use crate::holder::member::List;
+use crate::holder::member::Role;
+use crate::holder::member::State;
+use crate::holder::member::Vm;
+use crate::holder::pool::Spec;
+use crate::holder::rank;
 use crate::name;
-use crate::pool::Spec;
-use crate::rank;
 
 /// The servers of a service that an entry holds.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/holder/control/message.rs
@@ -1,6 +1,6 @@
-use crate::event::Stamp;
-use crate::lease::Target;
-use crate::member::Heartbeat;
+use crate::holder::event::Stamp;
+use crate::holder::lease::Target;
+use crate::holder::member::Heartbeat;
 use crate::name;
 
 /// A kind of document.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/holder/control/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Control`] takes over documents from the platform and from peers, exchanges heartbeats, decides
 //! which servers this entry holds, confirms claims on cold servers, probes quiet servers, and keeps
-//! the [`Gate`](crate::gate::Gate) up to date. Each task is a loop that an adapter runs until it is
+//! the [`Gate`](crate::holder::gate::Gate) up to date. Each task is a loop that an adapter runs until it is
 //! cancelled; what a loop does in one round is a method of its own, which tests call directly.
 
 mod beat;
@@ -24,16 +24,16 @@
 
 use self::probe::Probes;
 use self::reconcile::Basis;
-use crate::event::Event;
-use crate::flow::Tables;
-use crate::intent::Fetch;
-use crate::lease;
+use crate::holder::event::Event;
+use crate::holder::flow::Tables;
+use crate::holder::intent::Fetch;
+use crate::holder::lease;
+use crate::holder::port::Journal;
+use crate::holder::port::Ports;
 use crate::lock::Mutex;
 use crate::lock::Rank;
 use crate::name;
 use crate::port::Clock;
-use crate::port::Journal;
-use crate::port::Ports;
 use crate::time::Instant;
 
 pub use self::holding::Holding;
--- a/crates/core/src/control/probe.rs
+++ b/crates/core/src/holder/control/probe.rs
@@ -6,13 +6,13 @@
 use futures_util::future::join_all;
 
 use super::Control;
-use crate::flow::Route;
-use crate::lease::Target;
+use crate::holder::flow::Route;
+use crate::holder::lease::Target;
+use crate::holder::port::Ports;
+use crate::holder::port::Upstream;
+use crate::holder::probe::Budget;
 use crate::name;
 use crate::port::Clock;
-use crate::port::Ports;
-use crate::port::Upstream;
-use crate::probe::Budget;
 use crate::time::Instant;
 
 /// Time between two looks at which probes are due.
--- a/crates/core/src/control/reconcile.rs
+++ b/crates/core/src/holder/control/reconcile.rs
@@ -3,14 +3,14 @@
 use super::Control;
 use super::holding::Holding;
 use super::holding::holdings;
-use crate::event::Event;
-use crate::flow::Route;
-use crate::flow::Routes;
-use crate::intent::Order;
+use crate::holder::event::Event;
+use crate::holder::flow::Route;
+use crate::holder::flow::Routes;
+use crate::holder::intent::Order;
+use crate::holder::pool::Held;
+use crate::holder::port::Ports;
 use crate::name;
-use crate::pool::Held;
 use crate::port::Clock;
-use crate::port::Ports;
 use crate::time::Instant;
 
 /// What the current routes were derived from.
--- a/crates/core/src/control/tick.rs
+++ b/crates/core/src/holder/control/tick.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
 use super::Control;
-use crate::intent::Evidence;
+use crate::holder::intent::Evidence;
+use crate::holder::port::Ports;
 use crate::port::Clock;
-use crate::port::Ports;
 
 /// Time between two ticks. Places that linger become free with a tick at the latest.
 const INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/core/src/flow/address.rs
+++ b/crates/core/src/holder/flow/address.rs
@@ -2,9 +2,9 @@
 use std::time::Duration;
 
 use super::Router;
+use crate::holder::port::Ports;
 use crate::outcome::Refusal;
 use crate::port::Clock;
-use crate::port::Ports;
 
 /// An address that callers may use, with its share of the requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/core/src/flow/admit.rs
+++ b/crates/core/src/holder/flow/admit.rs
@@ -3,13 +3,13 @@
 
 use super::Route;
 use super::Router;
-use crate::config::Service;
-use crate::ledger::Entry;
+use crate::holder::config::Service;
+use crate::holder::ledger::Entry;
+use crate::holder::port::Ports;
 use crate::outcome::Doubt;
 use crate::outcome::Outcome;
 use crate::outcome::Refusal;
 use crate::port::Clock;
-use crate::port::Ports;
 use crate::port::Random;
 use crate::request::Content;
 use crate::request::Id;
--- a/crates/core/src/flow/attempt.rs
+++ b/crates/core/src/holder/flow/attempt.rs
@@ -2,19 +2,19 @@
 
 use super::Route;
 use super::Router;
+use crate::holder::pool::Kind;
+use crate::holder::pool::Lead;
+use crate::holder::pool::Permit;
+use crate::holder::pool::Pool;
+use crate::holder::pool::Sample;
+use crate::holder::port::Peer;
+use crate::holder::port::Ports;
+use crate::holder::port::Upstream;
 use crate::outcome::Doubt;
 use crate::outcome::Evidence;
 use crate::outcome::NotRun;
 use crate::outcome::Refusal;
-use crate::pool::Kind;
-use crate::pool::Lead;
-use crate::pool::Permit;
-use crate::pool::Pool;
-use crate::pool::Sample;
 use crate::port::Clock;
-use crate::port::Peer;
-use crate::port::Ports;
-use crate::port::Upstream;
 use crate::request::Attempt;
 use crate::time::Instant;
 
--- a/crates/core/src/flow/place.rs
+++ b/crates/core/src/holder/flow/place.rs
@@ -3,12 +3,12 @@
 use super::Route;
 use super::Router;
 use super::Trace;
+use crate::holder::pool::Lead;
+use crate::holder::pool::Place;
+use crate::holder::port::Ports;
 use crate::name;
 use crate::outcome::Refusal;
-use crate::pool::Lead;
-use crate::pool::Place;
 use crate::port::Clock;
-use crate::port::Ports;
 use crate::request::Request;
 use crate::time::Instant;
 
--- a/crates/core/src/flow/route.rs
+++ b/crates/core/src/holder/flow/route.rs
@@ -3,15 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::config::Service;
+use crate::holder::config::Service;
+use crate::holder::member::List;
+use crate::holder::member::Role;
+use crate::holder::member::Vm;
+use crate::holder::pool::Pool;
+use crate::holder::retry::Budget;
 use crate::lock::Mutex;
 use crate::lock::Rank;
-use crate::member::List;
-use crate::member::Role;
-use crate::member::Vm;
 use crate::name;
-use crate::pool::Pool;
-use crate::retry::Budget;
 
 /// A service that requests can go to.
 #[derive(Debug)]
--- a/crates/core/src/flow/scout.rs
+++ b/crates/core/src/holder/flow/scout.rs
@@ -3,12 +3,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Router;
+use crate::holder::pool::Lead;
+use crate::holder::pool::Pool;
+use crate::holder::port::Peer;
+use crate::holder::port::Ports;
 use crate::name;
-use crate::pool::Lead;
-use crate::pool::Pool;
 use crate::port::Clock;
-use crate::port::Peer;
-use crate::port::Ports;
 use crate::port::Random;
 use crate::time::Instant;
 
--- a/crates/core/src/gate/mod.rs
+++ b/crates/core/src/holder/gate/mod.rs
@@ -1,14 +1,14 @@
 //! Whether this entry may take new work, as a check that costs a few atomic loads.
 //!
-//! It joins the fence and readiness, which [`crate::intent::Gate`] decides, with the planned stop.
+//! It joins the fence and readiness, which [`crate::holder::intent::Gate`] decides, with the planned stop.
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use crate::intent;
-use crate::intent::Evidence;
+use crate::holder::intent;
+use crate::holder::intent::Evidence;
+use crate::holder::port::Journal;
 use crate::outcome::Refusal;
-use crate::port::Journal;
 use crate::time::Instant;
 
 /// The conditions under which new work is taken.
--- a/crates/core/src/intent/fence.rs
+++ b/crates/core/src/holder/intent/fence.rs
@@ -2,9 +2,9 @@
 
 use super::Platform;
 use super::Table;
-use crate::member::Contact;
-use crate::member::Peers;
-use crate::member::SILENT_AFTER;
+use crate::holder::member::Contact;
+use crate::holder::member::Peers;
+use crate::holder::member::SILENT_AFTER;
 use crate::time::Instant;
 
 /// How long an entry may go on without contact to those that tell it the intent: five heartbeats,
--- a/crates/core/src/intent/gate.rs
+++ b/crates/core/src/holder/intent/gate.rs
@@ -7,10 +7,10 @@
 use super::CATCH_UP;
 use super::Evidence;
 use super::FENCE_AFTER;
-use crate::event::Event;
+use crate::holder::event::Event;
+use crate::holder::port::Journal;
 use crate::lock::Mutex;
 use crate::lock::Rank;
-use crate::port::Journal;
 use crate::time::Instant;
 
 /// Bounds the wait for newer documents.
--- a/crates/core/src/intent/slot.rs
+++ b/crates/core/src/holder/intent/slot.rs
@@ -5,8 +5,8 @@
 use super::Decision;
 use super::Order;
 use super::Source;
-use crate::event;
-use crate::event::Event;
+use crate::holder::event;
+use crate::holder::event::Event;
 use crate::name;
 use crate::time::Instant;
 
--- a/crates/core/src/intent/table.rs
+++ b/crates/core/src/holder/intent/table.rs
@@ -11,12 +11,12 @@
 use super::slot::MAX_REFUSED;
 use super::slot::Offer;
 use super::slot::Slot;
-use crate::config::Config;
-use crate::event::Event;
+use crate::holder::config::Config;
+use crate::holder::event::Event;
+use crate::holder::member::List;
+use crate::holder::port::Journal;
 use crate::lock::Mutex;
 use crate::lock::Rank;
-use crate::member::List;
-use crate::port::Journal;
 use crate::time::Instant;
 
 /// The configuration and the VM list in force together, as one consistent value for a request.
--- a/crates/core/src/lease/claims.rs
+++ b/crates/core/src/holder/lease/claims.rs
@@ -9,9 +9,9 @@
 use super::RENEWAL;
 use super::Target;
 use super::batch::Batches;
-use crate::member;
+use crate::holder::member;
+use crate::holder::rank;
 use crate::name;
-use crate::rank;
 use crate::time::Instant;
 
 /// Time without a lease after which a claim pauses. It lets the promises to a failed holder expire
--- a/crates/core/src/lease/mod.rs
+++ b/crates/core/src/holder/lease/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The holder of a server asks the server's witnesses to promise the server to it. A quorum of
 //! promises makes a lease. Lists that differ a little still give quorums that intersect (see
-//! [`crate::rank::quorum`]), and no witness promises a server to two entries at once, so no two
+//! [`crate::holder::rank::quorum`]), and no witness promises a server to two entries at once, so no two
 //! entries have a lease at once.
 //!
 //! There is no shared clock. The claimant counts [`LIFETIME`] from before it sends a claim, and a
--- a/crates/core/src/lease/table.rs
+++ b/crates/core/src/holder/lease/table.rs
@@ -3,7 +3,7 @@
 use super::Claims;
 use super::Promises;
 use super::Target;
-use crate::member;
+use crate::holder::member;
 use crate::name;
 use crate::time::Instant;
 
--- a/crates/core/src/member/peers/heartbeat.rs
+++ b/crates/core/src/holder/member/peers/heartbeat.rs
@@ -1,5 +1,5 @@
-use crate::event::Stamp;
-use crate::intent::Order;
+use crate::holder::event::Stamp;
+use crate::holder::intent::Order;
 use crate::name;
 use crate::time::Instant;
 
--- a/crates/core/src/member/peers/peer.rs
+++ b/crates/core/src/holder/member/peers/peer.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
 use super::Heartbeat;
-use crate::event::Event;
-use crate::intent::Order;
-use crate::member::State;
+use crate::holder::event::Event;
+use crate::holder::intent::Order;
+use crate::holder::member::State;
 use crate::name;
 use crate::time::Instant;
 
--- a/crates/core/src/member/peers/table.rs
+++ b/crates/core/src/holder/member/peers/table.rs
@@ -9,14 +9,14 @@
 use super::Origin;
 use super::SILENT_AFTER;
 use super::peer::Peer;
-use crate::event::Event;
+use crate::holder::event::Event;
+use crate::holder::member::List;
+use crate::holder::member::Role;
+use crate::holder::member::State as Listing;
+use crate::holder::port::Journal;
 use crate::lock::Mutex;
 use crate::lock::Rank;
-use crate::member::List;
-use crate::member::Role;
-use crate::member::State as Listing;
 use crate::name;
-use crate::port::Journal;
 use crate::time::Instant;
 
 /// Largest number of entries that are remembered, far above the entries of any fleet. It bounds the
--- a/crates/core/src/member/peers/view.rs
+++ b/crates/core/src/holder/member/peers/view.rs
@@ -6,8 +6,8 @@
 use super::Known;
 use super::Peers;
 use super::SILENT_AFTER;
-use crate::intent::Order;
-use crate::member::State as Listing;
+use crate::holder::intent::Order;
+use crate::holder::member::State as Listing;
 use crate::name;
 use crate::time::Instant;
 
--- a/crates/core/src/pool/server.rs
+++ b/crates/core/src/holder/pool/server.rs
@@ -10,7 +10,7 @@
 use super::limit::Sample;
 use super::limit::Tuning;
 use super::limit::Warmth;
-use crate::config::Policy;
+use crate::holder::config::Policy;
 use crate::name;
 use crate::time::Instant;
 
--- a/crates/core/src/rank/mod.rs
+++ b/crates/core/src/holder/rank/mod.rs
@@ -14,8 +14,8 @@
 
 use smallvec::SmallVec;
 
-use crate::member::List;
-use crate::member::Vm;
+use crate::holder::member::List;
+use crate::holder::member::Vm;
 use crate::name;
 
 pub use self::quorum::MAX_WITNESSES;
--- a/crates/core/src/rank/table.rs
+++ b/crates/core/src/holder/rank/table.rs
@@ -6,9 +6,9 @@
 
 use super::MAX_WITNESSES;
 use super::Witnesses;
-use crate::member::List;
-use crate::member::Role;
-use crate::member::Vm;
+use crate::holder::member::List;
+use crate::holder::member::Role;
+use crate::holder::member::Vm;
 use crate::name;
 
 /// How close an entry is to a server, closest first. It is compared before the score is computed,
--- a/crates/core/tests/budget.rs
+++ b/crates/core/tests/budget.rs
@@ -11,9 +11,9 @@
 use proptest::test_runner::TestRunner;
 use rstest::rstest;
 
+use jackdawpin_core::holder::probe;
+use jackdawpin_core::holder::retry;
 use jackdawpin_core::port::Random;
-use jackdawpin_core::probe;
-use jackdawpin_core::retry;
 use jackdawpin_core::time::Instant;
 
 const FRESH: Duration = Duration::from_secs(1);
--- a/crates/core/tests/event.rs
+++ b/crates/core/tests/event.rs
@@ -3,10 +3,10 @@
 mod intent_support;
 
 use crate::intent_support::*;
-use jackdawpin_core::event::Clock;
-use jackdawpin_core::event::MAX_TEXT;
-use jackdawpin_core::event::Ring;
-use jackdawpin_core::event::Timeline;
+use jackdawpin_core::holder::event::Clock;
+use jackdawpin_core::holder::event::MAX_TEXT;
+use jackdawpin_core::holder::event::Ring;
+use jackdawpin_core::holder::event::Timeline;
 use jackdawpin_core::name;
 
 fn stamp(millis: u64, counter: u32) -> Stamp {
--- a/crates/core/tests/fence.rs
+++ b/crates/core/tests/fence.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use crate::intent_support::*;
-use jackdawpin_core::intent::Evidence;
-use jackdawpin_core::intent::Fetch;
-use jackdawpin_core::intent::Gate;
-use jackdawpin_core::intent::LONG_WAIT;
-use jackdawpin_core::intent::SHORT_WAIT;
-use jackdawpin_core::member::Contact;
+use jackdawpin_core::holder::intent::Evidence;
+use jackdawpin_core::holder::intent::Fetch;
+use jackdawpin_core::holder::intent::Gate;
+use jackdawpin_core::holder::intent::LONG_WAIT;
+use jackdawpin_core::holder::intent::SHORT_WAIT;
+use jackdawpin_core::holder::member::Contact;
 
 /// Evidence with documents, the platform answered and current at the given times, and most of three
 /// peers heard.
--- a/crates/core/tests/flow_support/mod.rs
+++ b/crates/core/tests/flow_support/mod.rs
@@ -14,29 +14,30 @@
 
 use bytes::Bytes;
 
-use jackdawpin_core::config::Config;
-use jackdawpin_core::control::Claim;
-use jackdawpin_core::control::Grant;
-use jackdawpin_core::control::Hello;
-use jackdawpin_core::control::Kind;
-use jackdawpin_core::event::Stamp;
-use jackdawpin_core::flow::Submission;
-use jackdawpin_core::flow::Tables;
-use jackdawpin_core::member::Heartbeat;
-use jackdawpin_core::member::List;
+use jackdawpin_core::holder;
+use jackdawpin_core::holder::config::Config;
+use jackdawpin_core::holder::control::Claim;
+use jackdawpin_core::holder::control::Grant;
+use jackdawpin_core::holder::control::Hello;
+use jackdawpin_core::holder::control::Kind;
+use jackdawpin_core::holder::event::Stamp;
+use jackdawpin_core::holder::flow::Submission;
+use jackdawpin_core::holder::flow::Tables;
+use jackdawpin_core::holder::member::Heartbeat;
+use jackdawpin_core::holder::member::List;
+use jackdawpin_core::holder::pool::Report;
+use jackdawpin_core::holder::pool::Warmth;
+use jackdawpin_core::holder::port::Forwarded;
+use jackdawpin_core::holder::port::Ports;
+use jackdawpin_core::holder::port::Reply;
 use jackdawpin_core::name;
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
 use jackdawpin_core::outcome::NotRun;
 use jackdawpin_core::outcome::Refusal;
-use jackdawpin_core::pool::Report;
-use jackdawpin_core::pool::Warmth;
 use jackdawpin_core::port;
 use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Forwarded;
-use jackdawpin_core::port::Ports;
-use jackdawpin_core::port::Reply;
 use jackdawpin_core::request::Attempt;
 use jackdawpin_core::request::Content;
 use jackdawpin_core::request::Id;
@@ -368,7 +369,7 @@
     }
 }
 
-impl port::Upstream for Fake {
+impl holder::port::Upstream for Fake {
     async fn send(&self, address: SocketAddr, attempt: Attempt<'_>) -> Reply {
         self.begin(Some(address), &attempt);
         // `begin` has counted the attempt.
@@ -384,7 +385,7 @@
     }
 }
 
-impl port::Peer for Fake {
+impl holder::port::Peer for Fake {
     async fn forward(&self, _: &name::Vm, _: SocketAddr, attempt: Attempt<'_>) -> Forwarded {
         self.begin(None, &attempt);
         let lure = self.model().lure;
@@ -416,7 +417,7 @@
     }
 }
 
-impl port::Mesh for Fake {
+impl holder::port::Mesh for Fake {
     async fn heartbeat(&self, _: SocketAddr, hello: &Hello, _: Duration) -> Option<Hello> {
         let mut beat = self.model().peer.clone()?;
         beat.clock = Stamp { counter: hello.beat.clock.counter + 1, ..hello.beat.clock };
@@ -437,7 +438,7 @@
 }
 
 /// A document is its number as text; the model has its contents.
-impl port::Reader for Fake {
+impl holder::port::Reader for Fake {
     fn config(&self, bytes: &[u8]) -> Result<Config, String> {
         let number = self.number(Kind::Config, bytes);
         self.model().configs.get(&number).cloned().ok_or_else(|| "no such document".to_owned())
--- a/crates/core/tests/intent_table.rs
+++ b/crates/core/tests/intent_table.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use crate::intent_support::*;
-use jackdawpin_core::config::Config;
-use jackdawpin_core::event::MAX_TEXT;
-use jackdawpin_core::intent::Decision;
+use jackdawpin_core::holder::config::Config;
+use jackdawpin_core::holder::event::MAX_TEXT;
+use jackdawpin_core::holder::intent::Decision;
 
 const NOW: u64 = 1_000;
 
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -16,15 +16,15 @@
 use proptest::test_runner::TestRunner;
 use rstest::rstest;
 
-use jackdawpin_core::lease::Batch;
-use jackdawpin_core::lease::Claimant;
-use jackdawpin_core::lease::HOLD;
-use jackdawpin_core::lease::LIFETIME;
-use jackdawpin_core::lease::MAX_PROMISES;
-use jackdawpin_core::lease::Promises;
-use jackdawpin_core::lease::Table;
-use jackdawpin_core::lease::Target;
-use jackdawpin_core::member;
+use jackdawpin_core::holder::lease::Batch;
+use jackdawpin_core::holder::lease::Claimant;
+use jackdawpin_core::holder::lease::HOLD;
+use jackdawpin_core::holder::lease::LIFETIME;
+use jackdawpin_core::holder::lease::MAX_PROMISES;
+use jackdawpin_core::holder::lease::Promises;
+use jackdawpin_core::holder::lease::Table;
+use jackdawpin_core::holder::lease::Target;
+use jackdawpin_core::holder::member;
 use jackdawpin_core::name;
 use jackdawpin_core::time::Instant;
 
--- a/crates/core/tests/peers.rs
+++ b/crates/core/tests/peers.rs
@@ -3,8 +3,8 @@
 mod intent_support;
 
 use crate::intent_support::*;
-use jackdawpin_core::member::Capacity;
-use jackdawpin_core::member::MAX_PEERS;
+use jackdawpin_core::holder::member::Capacity;
+use jackdawpin_core::holder::member::MAX_PEERS;
 
 fn with_free(clock: u64, free: &[(&str, u32)]) -> Heartbeat {
     let capacity = |(name, free): &(&str, u32)| {
--- a/crates/core/tests/rank.rs
+++ b/crates/core/tests/rank.rs
@@ -10,12 +10,12 @@
 
 use rstest::rstest;
 
-use jackdawpin_core::member::List;
-use jackdawpin_core::member::Role;
-use jackdawpin_core::member::State;
-use jackdawpin_core::member::Vm;
+use jackdawpin_core::holder::member::List;
+use jackdawpin_core::holder::member::Role;
+use jackdawpin_core::holder::member::State;
+use jackdawpin_core::holder::member::Vm;
+use jackdawpin_core::holder::rank;
 use jackdawpin_core::name;
-use jackdawpin_core::rank;
 
 fn vm(name: &str, role: Role, place: usize, domains: usize) -> Vm {
     let domain = place % domains;
--- a/crates/core/tests/session.rs
+++ b/crates/core/tests/session.rs
@@ -15,23 +15,23 @@
 use self::flow_support::Server;
 use self::flow_support::millis;
 use self::flow_support::submission;
-use jackdawpin_core::config::Builder;
-use jackdawpin_core::config::Config;
-use jackdawpin_core::config::Outage;
-use jackdawpin_core::config::Override;
-use jackdawpin_core::config::Policy;
-use jackdawpin_core::config::Reason;
-use jackdawpin_core::control::Control;
-use jackdawpin_core::control::Identity;
-use jackdawpin_core::control::Kind;
-use jackdawpin_core::event::Stamp;
-use jackdawpin_core::flow::Router;
-use jackdawpin_core::flow::Tables;
-use jackdawpin_core::member::Heartbeat;
-use jackdawpin_core::member::List;
-use jackdawpin_core::member::Role;
-use jackdawpin_core::member::State;
-use jackdawpin_core::member::Vm;
+use jackdawpin_core::holder::config::Builder;
+use jackdawpin_core::holder::config::Config;
+use jackdawpin_core::holder::config::Outage;
+use jackdawpin_core::holder::config::Override;
+use jackdawpin_core::holder::config::Policy;
+use jackdawpin_core::holder::config::Reason;
+use jackdawpin_core::holder::control::Control;
+use jackdawpin_core::holder::control::Identity;
+use jackdawpin_core::holder::control::Kind;
+use jackdawpin_core::holder::event::Stamp;
+use jackdawpin_core::holder::flow::Router;
+use jackdawpin_core::holder::flow::Tables;
+use jackdawpin_core::holder::member::Heartbeat;
+use jackdawpin_core::holder::member::List;
+use jackdawpin_core::holder::member::Role;
+use jackdawpin_core::holder::member::State;
+use jackdawpin_core::holder::member::Vm;
 use jackdawpin_core::name;
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::port::Clock;
@@ -204,7 +204,7 @@
         let room = route.pool().room(self.fake.now());
         let addresses = self.router.addresses(service).map(|addresses| addresses.addresses);
         let addresses = addresses.map(|addresses| {
-            let weigh = |address: &jackdawpin_core::flow::Address| {
+            let weigh = |address: &jackdawpin_core::holder::flow::Address| {
                 format!("{} weight {}", address.address, address.weight)
             };
             addresses.iter().map(weigh).collect::<Vec<_>>()
--- a/crates/core/tests/unknown.rs
+++ b/crates/core/tests/unknown.rs
@@ -5,16 +5,16 @@
 
 use rstest::rstest;
 
-use jackdawpin_core::config::Builder;
-use jackdawpin_core::config::Exception;
-use jackdawpin_core::config::Outage;
-use jackdawpin_core::config::Override;
-use jackdawpin_core::config::Reason;
-use jackdawpin_core::config::Scope;
-use jackdawpin_core::member::List;
-use jackdawpin_core::member::Role;
-use jackdawpin_core::member::State;
-use jackdawpin_core::member::Vm;
+use jackdawpin_core::holder::config::Builder;
+use jackdawpin_core::holder::config::Exception;
+use jackdawpin_core::holder::config::Outage;
+use jackdawpin_core::holder::config::Override;
+use jackdawpin_core::holder::config::Reason;
+use jackdawpin_core::holder::config::Scope;
+use jackdawpin_core::holder::member::List;
+use jackdawpin_core::holder::member::Role;
+use jackdawpin_core::holder::member::State;
+use jackdawpin_core::holder::member::Vm;
 
 /// An entry in fd-a, and a leaving server of `alerts` in fd-b.
 fn list() -> List {
--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -8,7 +8,7 @@
 use crate::peer::Peer;
 use crate::reader::Reader;
 use crate::upstream::Upstream;
-use jackdawpin_core::port::Ports;
+use jackdawpin_core::holder::port::Ports;
 
 /// The adapters.
 #[derive(Debug)]
--- a/crates/daemon/src/control/admin.rs
+++ b/crates/daemon/src/control/admin.rs
@@ -6,21 +6,21 @@
 use super::Listener;
 use crate::peer::convert;
 use crate::query;
-use jackdawpin_core::config::Origin;
-use jackdawpin_core::event::Record;
-use jackdawpin_core::flow::Route;
-use jackdawpin_core::intent::Intent;
-use jackdawpin_core::intent::Refusal;
-use jackdawpin_core::lease::Target;
-use jackdawpin_core::ledger::Totals;
-use jackdawpin_core::member::Role;
-use jackdawpin_core::member::State;
+use jackdawpin_core::holder::config::Origin;
+use jackdawpin_core::holder::event::Record;
+use jackdawpin_core::holder::flow::Route;
+use jackdawpin_core::holder::intent::Intent;
+use jackdawpin_core::holder::intent::Refusal;
+use jackdawpin_core::holder::lease::Target;
+use jackdawpin_core::holder::ledger::Totals;
+use jackdawpin_core::holder::member::Role;
+use jackdawpin_core::holder::member::State;
+use jackdawpin_core::holder::pool::View;
+use jackdawpin_core::holder::pool::Warmth;
+use jackdawpin_core::holder::port::Ports;
+use jackdawpin_core::holder::rank;
 use jackdawpin_core::name;
-use jackdawpin_core::pool::View;
-use jackdawpin_core::pool::Warmth;
 use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Ports;
-use jackdawpin_core::rank;
 use jackdawpin_core::time::Instant;
 use jackdawpin_wire as wire;
 
@@ -108,7 +108,7 @@
     fn entries(&self, now: Instant) -> Vec<wire::Entry> {
         let tables = self.router.tables();
         let routes = tables.routes();
-        let entry = |known: jackdawpin_core::member::Known| {
+        let entry = |known: jackdawpin_core::holder::member::Known| {
             let contact = routes.entry(&known.vm);
             wire::Entry {
                 vm: known.vm.to_string(),
@@ -185,7 +185,7 @@
     format!("{}: {}", refusal.order, refusal.reason)
 }
 
-fn setting(setting: &jackdawpin_core::config::Setting<'_>) -> wire::Setting {
+fn setting(setting: &jackdawpin_core::holder::config::Setting<'_>) -> wire::Setting {
     let origin = match setting.origin {
         Origin::Default => wire::Origin::Default,
         Origin::Service => wire::Origin::Service,
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -26,10 +26,10 @@
 use crate::listen::body;
 use crate::metrics;
 use crate::telemetry::Telemetry;
-use jackdawpin_core::control::Control;
-use jackdawpin_core::flow::Router;
+use jackdawpin_core::holder::control::Control;
+use jackdawpin_core::holder::flow::Router;
+use jackdawpin_core::holder::port::Ports;
 use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Ports;
 use jackdawpin_wire as wire;
 
 /// Largest forwarded request: the largest body and its envelope.
--- a/crates/daemon/src/front/call.rs
+++ b/crates/daemon/src/front/call.rs
@@ -15,9 +15,9 @@
 use super::response;
 use crate::headers;
 use crate::listen::body;
-use jackdawpin_core::flow::Submission;
+use jackdawpin_core::holder::flow::Submission;
+use jackdawpin_core::holder::port::Ports;
 use jackdawpin_core::outcome::Refusal;
-use jackdawpin_core::port::Ports;
 use jackdawpin_core::request::Content;
 use jackdawpin_core::request::Id;
 
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -23,9 +23,9 @@
 use crate::listen::Context;
 use crate::query;
 use crate::telemetry::Telemetry;
-use jackdawpin_core::flow::Router;
+use jackdawpin_core::holder::flow::Router;
+use jackdawpin_core::holder::port::Ports;
 use jackdawpin_core::outcome::Refusal;
-use jackdawpin_core::port::Ports;
 
 /// Path that tells callers which addresses to use; query `service`.
 pub const ADDRESSES: &str = "/v1/addresses";
--- a/crates/daemon/src/front/response.rs
+++ b/crates/daemon/src/front/response.rs
@@ -12,7 +12,7 @@
 use crate::headers;
 use crate::headers::REFUSED;
 use crate::listen::body;
-use jackdawpin_core::flow::Addresses;
+use jackdawpin_core::holder::flow::Addresses;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::outcome::Refusal;
@@ -47,7 +47,7 @@
 
 /// The addresses that callers may use.
 pub(super) fn addresses(addresses: &Addresses) -> Response<Full<Bytes>> {
-    let entry = |entry: &jackdawpin_core::flow::Address| Address {
+    let entry = |entry: &jackdawpin_core::holder::flow::Address| Address {
         address: entry.address,
         weight: entry.weight,
     };
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -1,13 +1,13 @@
 //! Conversions between messages and the types of the decisions.
 
-use jackdawpin_core::control::Claim;
-use jackdawpin_core::control::Grant;
-use jackdawpin_core::control::Hello;
-use jackdawpin_core::event::Stamp;
-use jackdawpin_core::intent::Order;
-use jackdawpin_core::lease::Target;
-use jackdawpin_core::member::Capacity;
-use jackdawpin_core::member::Heartbeat;
+use jackdawpin_core::holder::control::Claim;
+use jackdawpin_core::holder::control::Grant;
+use jackdawpin_core::holder::control::Hello;
+use jackdawpin_core::holder::event::Stamp;
+use jackdawpin_core::holder::intent::Order;
+use jackdawpin_core::holder::lease::Target;
+use jackdawpin_core::holder::member::Capacity;
+use jackdawpin_core::holder::member::Heartbeat;
 use jackdawpin_core::name;
 use jackdawpin_wire as wire;
 
--- a/crates/daemon/src/peer/forward.rs
+++ b/crates/daemon/src/peer/forward.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 
+use jackdawpin_core::holder::port::Forwarded;
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
 use jackdawpin_core::outcome::NotRun;
 use jackdawpin_core::outcome::Refusal;
-use jackdawpin_core::port::Forwarded;
 use jackdawpin_core::request::Attempt;
 use jackdawpin_core::request::Header;
 use jackdawpin_wire as wire;
--- a/crates/daemon/src/peer/mesh.rs
+++ b/crates/daemon/src/peer/mesh.rs
@@ -4,12 +4,12 @@
 use super::Error;
 use super::Peer;
 use super::convert;
-use jackdawpin_core::control::Claim;
-use jackdawpin_core::control::Grant;
-use jackdawpin_core::control::Hello;
-use jackdawpin_core::control::Kind;
+use jackdawpin_core::holder::control::Claim;
+use jackdawpin_core::holder::control::Grant;
+use jackdawpin_core::holder::control::Hello;
+use jackdawpin_core::holder::control::Kind;
+use jackdawpin_core::holder::port::Mesh;
 use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Mesh;
 use jackdawpin_wire as wire;
 
 impl<C: Clock> Mesh for Peer<C> {
--- a/crates/daemon/src/reader/mod.rs
+++ b/crates/daemon/src/reader/mod.rs
@@ -1,9 +1,9 @@
 //! Reads documents for the decisions.
 
-use jackdawpin_core::config::Config;
-use jackdawpin_core::control::Kind;
-use jackdawpin_core::member::List;
-use jackdawpin_core::port;
+use jackdawpin_core::holder::config::Config;
+use jackdawpin_core::holder::control::Kind;
+use jackdawpin_core::holder::member::List;
+use jackdawpin_core::holder::port;
 use jackdawpin_document as document;
 
 /// Reads the documents in the formats that operators and the platform publish.
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -30,10 +30,10 @@
 use crate::stop::Signals;
 use crate::telemetry::Telemetry;
 use crate::traffic::Traffic;
-use jackdawpin_core::control::Control;
-use jackdawpin_core::control::Identity;
-use jackdawpin_core::flow::Router;
-use jackdawpin_core::flow::Tables;
+use jackdawpin_core::holder::control::Control;
+use jackdawpin_core::holder::control::Identity;
+use jackdawpin_core::holder::flow::Router;
+use jackdawpin_core::holder::flow::Tables;
 use jackdawpin_core::port::Clock;
 
 /// How long a planned stop waits beyond the life of an address answer: a request that a caller sends
--- a/crates/daemon/src/run/scouts.rs
+++ b/crates/daemon/src/run/scouts.rs
@@ -4,11 +4,11 @@
 
 use tokio_util::sync::CancellationToken;
 
-use jackdawpin_core::flow::Router;
-use jackdawpin_core::flow::SCOUTS;
+use jackdawpin_core::holder::flow::Router;
+use jackdawpin_core::holder::flow::SCOUTS;
+use jackdawpin_core::holder::pool::Pool;
+use jackdawpin_core::holder::port::Ports;
 use jackdawpin_core::name;
-use jackdawpin_core::pool::Pool;
-use jackdawpin_core::port::Ports;
 
 /// Time between two looks at which services there are.
 const INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/daemon/src/run/sink.rs
+++ b/crates/daemon/src/run/sink.rs
@@ -4,9 +4,9 @@
 use crate::platform;
 use crate::platform::Error;
 use crate::platform::Key;
-use jackdawpin_core::control::Control;
-use jackdawpin_core::control::Kind;
-use jackdawpin_core::port::Ports;
+use jackdawpin_core::holder::control::Control;
+use jackdawpin_core::holder::control::Kind;
+use jackdawpin_core::holder::port::Ports;
 use jackdawpin_core::time::Instant;
 
 /// Hands what the platform answers to the decisions, and counts it.
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -18,14 +18,14 @@
 use crate::exchange::Error;
 use crate::exchange::content;
 use crate::headers;
+use jackdawpin_core::holder::pool::Report;
+use jackdawpin_core::holder::port;
+use jackdawpin_core::holder::port::Reply;
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
 use jackdawpin_core::outcome::NotRun;
-use jackdawpin_core::pool::Report;
-use jackdawpin_core::port;
 use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Reply;
 use jackdawpin_core::request::Attempt;
 
 /// Largest answer to a probe in bytes.
--- a/crates/daemon/src/upstream/report.rs
+++ b/crates/daemon/src/upstream/report.rs
@@ -1,7 +1,7 @@
 use http::HeaderValue;
 use serde::Deserialize;
 
-use jackdawpin_core::pool::Report;
+use jackdawpin_core::holder::pool::Report;
 
 /// Prefix of a load report in JSON form.
 const JSON_FORM: &str = "JSON ";
--- a/crates/daemon/tests/pages.rs
+++ b/crates/daemon/tests/pages.rs
@@ -10,8 +10,8 @@
 
 use rstest::rstest;
 
-use jackdawpin_core::config::FIELDS;
-use jackdawpin_core::event::Event;
+use jackdawpin_core::holder::config::FIELDS;
+use jackdawpin_core::holder::event::Event;
 use jackdawpin_core::name;
 use jackdawpin_core::outcome::Refusal;
 use jackdawpin_daemon::metrics::End;
--- a/crates/daemon/tests/protocol.rs
+++ b/crates/daemon/tests/protocol.rs
@@ -18,11 +18,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use jackdawpin_core::holder::port::Upstream as _;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Evidence;
 use jackdawpin_core::outcome::NotRun;
 use jackdawpin_core::port::Clock;
-use jackdawpin_core::port::Upstream as _;
 use jackdawpin_core::request::Attempt;
 use jackdawpin_core::request::Content;
 use jackdawpin_core::request::Header;
--- a/crates/document/src/config/mod.rs
+++ b/crates/document/src/config/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The text is parsed into a tree in which each key and value knows its place (`toml::Spanned`).
 //! Each section is then read field by field: the values go through
-//! `jackdawpin_core::config::Override`, which checks ranges, and the sections through
-//! `jackdawpin_core::config::Builder`, which checks how they fit together. A faulty value is
+//! `jackdawpin_core::holder::config::Override`, which checks ranges, and the sections through
+//! `jackdawpin_core::holder::config::Builder`, which checks how they fit together. A faulty value is
 //! reported and left out, so that one mistake does not cause reports about sections that are right.
 
 mod section;
@@ -15,7 +15,7 @@
 use self::table::Table;
 use crate::Faults;
 use crate::fault::Log;
-use jackdawpin_core::config::Config;
+use jackdawpin_core::holder::config::Config;
 
 /// Reads a configuration.
 ///
--- a/crates/document/src/config/section.rs
+++ b/crates/document/src/config/section.rs
@@ -1,17 +1,17 @@
 use super::table::Item;
 use super::table::Table;
 use crate::fault::Log;
-use jackdawpin_core::config::Builder;
-use jackdawpin_core::config::Config;
-use jackdawpin_core::config::Error;
-use jackdawpin_core::config::Exception;
-use jackdawpin_core::config::Field;
-use jackdawpin_core::config::Kind;
-use jackdawpin_core::config::Outage;
-use jackdawpin_core::config::Override;
-use jackdawpin_core::config::Policy;
-use jackdawpin_core::config::Reason;
-use jackdawpin_core::config::Scope;
+use jackdawpin_core::holder::config::Builder;
+use jackdawpin_core::holder::config::Config;
+use jackdawpin_core::holder::config::Error;
+use jackdawpin_core::holder::config::Exception;
+use jackdawpin_core::holder::config::Field;
+use jackdawpin_core::holder::config::Kind;
+use jackdawpin_core::holder::config::Outage;
+use jackdawpin_core::holder::config::Override;
+use jackdawpin_core::holder::config::Policy;
+use jackdawpin_core::holder::config::Reason;
+use jackdawpin_core::holder::config::Scope;
 use jackdawpin_core::name;
 
 const ROOT_FIELDS: &[&str] = &["revision", "defaults", "service", "exception", "out"];
--- a/crates/document/src/vms/mod.rs
+++ b/crates/document/src/vms/mod.rs
@@ -14,11 +14,11 @@
 use self::json::Object;
 use crate::Faults;
 use crate::fault::Log;
-use jackdawpin_core::member::Error;
-use jackdawpin_core::member::List;
-use jackdawpin_core::member::Role;
-use jackdawpin_core::member::State;
-use jackdawpin_core::member::Vm;
+use jackdawpin_core::holder::member::Error;
+use jackdawpin_core::holder::member::List;
+use jackdawpin_core::holder::member::Role;
+use jackdawpin_core::holder::member::State;
+use jackdawpin_core::holder::member::Vm;
 use jackdawpin_core::name;
 
 /// Reads a VM list.
--- a/crates/document/tests/vms.rs
+++ b/crates/document/tests/vms.rs
@@ -6,8 +6,8 @@
 use proptest::test_runner::TestRunner;
 use rstest::rstest;
 
-use jackdawpin_core::member::Role;
-use jackdawpin_core::member::State;
+use jackdawpin_core::holder::member::Role;
+use jackdawpin_core::holder::member::State;
 use jackdawpin_document::digest;
 use jackdawpin_document::text;
 use jackdawpin_document::vms;
