--- a/crates/core/tests/direct_shares.rs
+++ b/crates/core/tests/direct_shares.rs
@@ -4,8 +4,6 @@
 
 mod direct_support;
 
-use std::net::Ipv4Addr;
-
 use proptest::prelude::prop;
 use proptest::prelude::proptest;
 use proptest::prop_assert;
@@ -21,11 +19,6 @@
 use jackdawpin_core::direct::probes;
 use jackdawpin_core::direct::retries::Limit;
 use jackdawpin_core::direct::retries::Window;
-use jackdawpin_core::direct::share;
-
-fn ip(number: u8) -> Ipv4Addr {
-    Ipv4Addr::new(10, 0, 0, number)
-}
 
 proptest! {
     /// Guards against a cold server that gets more than it bears while entries have two views of who
