Ask only a peer that has spoken for the items at a start

After a kill of many entries the rows that a starting entry gets are mostly of dead ones, which look alive for 3.6 s, and a question to one of them costs 250 ms. Only peers that have sent something themselves are asked now, near ones first.

direct_peers.rs: only_peers_that_spoke_are_met.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -77,6 +77,8 @@
 struct Peer {
     row: Row,
     heard: Instant,
+    /// Whether it has spoken to this entry itself.
+    met: bool,
     /// Whether it was live when last looked at, to log changes.
     live: bool,
 }
@@ -249,6 +251,14 @@
         others.filter(|peer| peer.row.ip != table.own.ip && key(&peer.row) > own).count()
     }
 
+    /// A live peer that has spoken to this entry itself, if possible one of the own failure domain. To
+    /// an entry that has just started, others may still tell of peers that have died.
+    pub fn met(&self, now: Instant) -> Option<Ipv4Addr> {
+        let table = self.table.lock();
+        let near = table.near(now).find(|peer| peer.met);
+        near.or_else(|| table.live(now).find(|peer| peer.met)).map(|peer| peer.row.ip)
+    }
+
     /// The live peers of the own failure domain.
     pub fn near(&self, now: Instant) -> Vec<Ipv4Addr> {
         let table = self.table.lock();
@@ -355,7 +365,7 @@
         let direct = row.ip == from;
         let Some(peer) = self.peers.iter_mut().find(|peer| peer.row.ip == row.ip) else {
             log::info!("event=peer peer={} state=\"joined\" domain={}", row.ip, row.domain);
-            self.peers.push(Peer { row, heard: now, live: true });
+            self.peers.push(Peer { row, heard: now, met: direct, live: true });
             return true;
         };
         let (old, new) = (&peer.row, (row.incarnation, row.beat));
@@ -366,6 +376,7 @@
         }
         peer.row = row;
         peer.heard = now;
+        peer.met |= direct;
         restarted
     }
 }
--- a/crates/core/tests/direct_peers.rs
+++ b/crates/core/tests/direct_peers.rs
@@ -281,3 +281,15 @@
     entry.hear(ip(2), [row(2, "b")], at(1_000));
     assert!(entry.rank_for("s1", "z", at(1_000)) < cold::OWNERS);
 }
+
+/// Guards against an entry that starts and asks a dead peer for the items, because another one still
+/// tells of it: after a kill of many entries most rows are of dead ones.
+#[test]
+fn only_peers_that_spoke_are_met() {
+    let entry = Peers::new(row(1, "a"), Vec::new());
+    assert_eq!(entry.met(at(1_000)), None);
+    entry.hear(ip(2), [row(2, "b"), row(3, "a"), row(4, "a")], at(1_000));
+    assert_eq!(entry.met(at(1_000)), Some(ip(2)), "the others are known by hearsay");
+    entry.hear(ip(3), [Row { beat: 1, ..row(3, "a") }], at(1_010));
+    assert_eq!(entry.met(at(1_010)), Some(ip(3)), "it is near");
+}
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -260,21 +260,14 @@
         }
     }
 
-    /// A peer that has shown a sign of life, one of the own failure domain if there is one.
+    /// The first peer that shows a sign of life.
     async fn first_peer(&self) -> Option<Ipv4Addr> {
         let end = self.now() + FIRST_SIGN;
         loop {
             let now = self.now();
-            let near = self.flow.peers.near(now);
-            let live = || self.flow.peers.live(now).into_iter().filter(|ip| *ip != self.own);
-            let found: Vec<Ipv4Addr> = if near.is_empty() { live().collect() } else { near };
-            let bound = u64::try_from(found.len()).unwrap_or(u64::MAX);
-            let index = usize::try_from(self.flow.random().below(bound)).unwrap_or(0);
-            if let Some(peer) = found.get(index) {
-                return Some(*peer);
-            }
-            if now >= end {
-                return None;
+            let met = self.flow.peers.met(now);
+            if met.is_some() || now >= end {
+                return met;
             }
             tokio::time::sleep(SIGN_LOOK).await;
         }
