--- a/crates/core/src/direct/flow/mod.rs
+++ b/crates/core/src/direct/flow/mod.rs
@@ -16,6 +16,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use self::call::Trail;
 use self::find::Found;
 use crate::direct::fleet::Fleet;
@@ -96,6 +98,8 @@
     clock: C,
     random: R,
     plan: Mutex<Option<Arc<Plan>>>,
+    /// Told when a plan comes into force.
+    planned: Notify,
     /// When the state of the platform's store was last proved to be known here.
     proved: Mutex<Instant>,
     bounds: Mutex<Bounds>,
@@ -117,6 +121,7 @@
             clock,
             random,
             plan: Mutex::new(Rank::Intent, None),
+            planned: Notify::new(),
             proved: Mutex::new(Rank::Intent, started),
             bounds: Mutex::new(Rank::Intent, bounds),
             accounts: Mutex::new(Rank::Ledger, Accounts::default()),
@@ -150,9 +155,19 @@
             route.turn.store(turn, std::sync::atomic::Ordering::Relaxed);
         }
         *current = Some(Arc::new(plan));
+        drop(current);
+        self.planned.notify_waiters();
         true
     }
 
+    /// Waits until a configuration is in force.
+    pub async fn ready(&self) {
+        let planned = self.planned.notified();
+        if self.plan().is_none() {
+            planned.await;
+        }
+    }
+
     /// Notes that the state of the platform's store at `at` is known here.
     pub fn note_proof(&self, at: Instant) {
         let mut proved = self.proved.lock();
--- a/crates/core/tests/direct_flow.rs
+++ b/crates/core/tests/direct_flow.rs
@@ -404,3 +404,22 @@
     serve(&flow, "1", &route(true)).await;
     assert_eq!(doubles.0.lock().unwrap().kept, Some(6));
 }
+
+/// Guards against requests that are refused by an entry that is about to have its first configuration,
+/// and against a wait that goes on although there is one. Seen after a power-off of all entries: 80
+/// requests were refused in the half second of the start.
+#[tokio::test(start_paused = true)]
+async fn first_configuration() {
+    let doubles = Doubles::default();
+    let flow = flow(&doubles, &[], 1);
+    let waiting = tokio::spawn({
+        let flow = Arc::clone(&flow);
+        async move { flow.ready().await }
+    });
+    tokio::time::sleep(ms(40)).await;
+    assert!(!waiting.is_finished());
+    flow.set_plan(plan(1, vec![route(true)]));
+    waiting.await.unwrap();
+    let again = tokio::time::timeout(ms(1), flow.ready()).await;
+    assert!(again.is_ok(), "a plan is in force");
+}
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -25,6 +25,7 @@
 use crate::listen::body;
 use jackdawpin_core::direct::flow::Call;
 use jackdawpin_core::direct::flow::Ended;
+use jackdawpin_core::direct::plan::Route;
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::outcome::Doubt;
 use jackdawpin_core::outcome::Outcome;
@@ -42,6 +43,10 @@
 /// Time for the rest of a body that is too large.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// How long a request waits for the first configuration, which a process that starts again has within
+/// tens of milliseconds: sooner than a refused caller would be back.
+const READY_WAIT: Duration = Duration::from_millis(150);
+
 /// When a caller may come back to an entry that has no configuration yet.
 const NOT_READY: Duration = Duration::from_millis(200);
 
@@ -58,6 +63,17 @@
         Self { flow, budget, journal }
     }
 
+    /// The route of a request. An entry that has just started waits for its first configuration.
+    async fn route(&self, host: &str, path: &str) -> Result<Arc<Route>, Refusal> {
+        let route = self.flow.route(host, path);
+        if route.as_ref().err() != Some(&Refusal::NotReady) {
+            return route;
+        }
+        // If there is none in time, the second look says so.
+        let _ = tokio::time::timeout(READY_WAIT, self.flow.ready()).await;
+        self.flow.route(host, path)
+    }
+
     async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let received = self.flow.clock().now();
         let (parts, mut body) = request.into_parts();
@@ -77,7 +93,7 @@
             return plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
         }
         let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
-        let route = match self.flow.route(host.unwrap_or_default(), parts.uri.path()) {
+        let route = match self.route(host.unwrap_or_default(), parts.uri.path()).await {
             Ok(route) => route,
             Err(refusal) => {
                 self.journal.refused(id, refusal);
