Join code that stood twice

- The empty answer and the answer with a media type stood in directory and control, and under another name in front; both are in gateway::answer.
- Peers::rank and rank_for counted in two ways; Table::rank takes the key. share::rank is gone.
- What counts as a server's failure (500 and above) stood in three places; it is Answer::is_failure.
- headers::extend only passed its arguments on.
- Two locks of the accounts after a round of probes are one.

--- a/crates/core/src/direct/flow/call.rs
+++ b/crates/core/src/direct/flow/call.rs
@@ -128,7 +128,7 @@
             _ => self.sends += 1,
         }
         match verdict {
-            Verdict::Ran(answer) if answer.status < 500 => return Some(answer),
+            Verdict::Ran(answer) if !answer.is_failure() => return Some(answer),
             Verdict::Ran(answer) => self.failed = Some(answer),
             Verdict::MayHaveRun(_) => self.doubt = true,
             Verdict::Shed | Verdict::Misdirected => self.arrivals += 1,
--- a/crates/core/src/direct/flow/find.rs
+++ b/crates/core/src/direct/flow/find.rs
@@ -149,8 +149,11 @@
             .filter(|candidate| candidate.probe)
             .map(|candidate| self.spawn_probe(service, candidate, &path))
             .collect();
-        self.accounts.lock().probes.spend(probes.len());
-        self.accounts.lock().counts.probes += u64::try_from(probes.len()).unwrap_or(0);
+        {
+            let mut accounts = self.accounts.lock();
+            accounts.probes.spend(probes.len());
+            accounts.counts.probes += u64::try_from(probes.len()).unwrap_or(0);
+        }
         wait(probes).await;
         found.into_iter().map(|candidate| candidate.server).collect()
     }
--- a/crates/core/src/direct/flow/hedge.rs
+++ b/crates/core/src/direct/flow/hedge.rs
@@ -157,7 +157,7 @@
         let verdict = self.backend.send(attempt).await;
         let now = self.clock.now();
         flight.land(match &verdict {
-            Verdict::Ran(answer) if answer.status < 500 => Landing::Answered(now.since(started)),
+            Verdict::Ran(answer) if !answer.is_failure() => Landing::Answered(now.since(started)),
             Verdict::Ran(_) | Verdict::MayHaveRun(_) => Landing::Fault,
             Verdict::Shed => Landing::Shed,
             Verdict::Misdirected | Verdict::NotSent => Landing::Absent,
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -236,19 +236,14 @@
 
     /// The place of the own entry among the live ones for `key`, from 0.
     pub fn rank(&self, key: &str, now: Instant) -> usize {
-        let table = self.table.lock();
-        let others = table.live(now).filter(|peer| !peer.row.leaving).map(|peer| peer.row.ip);
-        super::share::rank(key, table.own.ip, others)
+        self.table.lock().rank(now, |row| super::share::score(key, row.ip))
     }
 
     /// The place of the own entry among the live ones for `server`, from 0: those of the server's
     /// failure domain come first, since they ask it most.
     pub fn rank_for(&self, server: &str, domain: &str, now: Instant) -> usize {
-        let table = self.table.lock();
-        let key = |row: &Row| (row.domain.as_str() == domain, super::share::score(server, row.ip));
-        let own = key(&table.own);
-        let others = table.live(now).filter(|peer| !peer.row.leaving);
-        others.filter(|peer| peer.row.ip != table.own.ip && key(&peer.row) > own).count()
+        let score = |row: &Row| super::share::score(server, row.ip);
+        self.table.lock().rank(now, |row| (row.domain.as_str() == domain, score(row)))
     }
 
     /// A live peer that has spoken to this entry itself, if possible one of the own failure domain. To
@@ -306,6 +301,13 @@
         self.peers.iter().filter(move |peer| paused || now.since(peer.heard) < SILENT_AFTER)
     }
 
+    /// How many live peers that stay come before the own entry; the highest key comes first.
+    fn rank<K: Ord>(&self, now: Instant, key: impl Fn(&Row) -> K) -> usize {
+        let own = key(&self.own);
+        let peers = self.live(now).filter(|peer| !peer.row.leaving);
+        peers.filter(|peer| key(&peer.row) > own).count()
+    }
+
     /// The live peers of the own failure domain.
     fn near(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.live(now).filter(|peer| peer.row.domain == self.own.domain)
--- a/crates/core/src/direct/share.rs
+++ b/crates/core/src/direct/share.rs
@@ -14,9 +14,3 @@
     input.extend_from_slice(key.as_bytes());
     xxh3_64(&input)
 }
-
-/// How many of `others` come before `own` for `key`.
-pub fn rank(key: &str, own: Ipv4Addr, others: impl Iterator<Item = Ipv4Addr>) -> usize {
-    let mine = score(key, own);
-    others.filter(|ip| *ip != own && score(key, *ip) > mine).count()
-}
--- a/crates/core/src/holder/flow/attempt.rs
+++ b/crates/core/src/holder/flow/attempt.rs
@@ -18,9 +18,6 @@
 use crate::request::Attempt;
 use crate::time::Instant;
 
-/// First status code that says that the server failed.
-const SERVER_ERROR: u16 = 500;
-
 /// Shortest time until the end of a claim with which a request is sent to a server that is not warm.
 const MIN_WORK: Duration = Duration::from_millis(100);
 
@@ -112,7 +109,7 @@
 
 fn kind(evidence: &Evidence) -> Kind {
     match evidence {
-        Evidence::Ran(answer) if answer.status >= SERVER_ERROR => Kind::Failed,
+        Evidence::Ran(answer) if answer.is_failure() => Kind::Failed,
         Evidence::Ran(_) => Kind::Answered,
         Evidence::NotRun(NotRun::Shed) => Kind::Shed,
         Evidence::NotRun(_) => Kind::NotSent,
--- a/crates/core/src/outcome/mod.rs
+++ b/crates/core/src/outcome/mod.rs
@@ -19,6 +19,13 @@
     pub body: Bytes,
 }
 
+impl Answer {
+    /// Whether the server says that it failed.
+    pub fn is_failure(&self) -> bool {
+        self.status >= 500
+    }
+}
+
 quick_error! {
     /// Why a request was not run.
     #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/daemon/src/front/response.rs
+++ b/crates/daemon/src/front/response.rs
@@ -81,7 +81,7 @@
             *response.status_mut() =
                 StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
             let fields = answer.headers.iter().map(|field| (&*field.name, &field.value[..]));
-            headers::extend(response.headers_mut(), fields);
+            headers::extend_except(response.headers_mut(), fields, &headers::OWN_FIELDS);
             mark(&mut response, ANSWERED, "");
             response
         }
--- /dev/null
+++ b/crates/daemon/src/gateway/answer.rs
@@ -0,0 +1,22 @@
+//! Answers that are not a server's.
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::Full;
+use volo_http::response::Response;
+
+/// An answer without a body.
+pub(super) fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// A good answer with a body of this media type.
+pub(super) fn typed(body: Vec<u8>, media_type: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(media_type));
+    response
+}
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::HeaderValue;
 use http::StatusCode;
-use http::header::CONTENT_TYPE;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use motore::service::Service;
@@ -14,8 +12,9 @@
 use volo_http::response::Response;
 
 use super::Flow;
+use super::answer::status;
+use super::answer::typed;
 use super::convert;
-use super::directory::status;
 use super::feeder::Feeder;
 use super::metrics::Metrics;
 use crate::listen::Context;
@@ -79,9 +78,3 @@
         })
     }
 }
-
-fn typed(body: Vec<u8>, media_type: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(media_type));
-    response
-}
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -7,9 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::HeaderValue;
 use http::StatusCode;
-use http::header::CONTENT_TYPE;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use motore::service::Service;
@@ -17,6 +15,8 @@
 use volo_http::response::Response;
 
 use super::Flow;
+use super::answer::status;
+use super::answer::typed;
 use crate::listen::Context;
 use jackdawpin_core::port::Clock;
 use jackdawpin_platform::http as wire;
@@ -56,12 +56,7 @@
         }
         let addresses = entries.into_iter().map(|ip| SocketAddr::from((ip, self.port))).collect();
         match wire::addresses(addresses, self.ttl) {
-            Ok(body) => {
-                let mut response = Response::new(Full::new(Bytes::from(body)));
-                let json = HeaderValue::from_static("application/json");
-                response.headers_mut().insert(CONTENT_TYPE, json);
-                response
-            }
+            Ok(body) => typed(body, "application/json"),
             Err(err) => {
                 log::error!("event=directory error=\"{err}\"");
                 status(StatusCode::INTERNAL_SERVER_ERROR)
@@ -91,9 +86,3 @@
         })
     }
 }
-
-pub(super) fn status(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -17,7 +17,7 @@
 use volo_http::response::Response;
 
 use super::Flow;
-use super::directory::status as plain;
+use super::answer::status;
 use super::journal::Journal;
 use crate::headers;
 use crate::listen::Budget;
@@ -90,7 +90,7 @@
         let id = text(&parts, wire::REQUEST_ID).unwrap_or_default();
         if self.flow.plan().is_some_and(|plan| head_bytes(&parts) > plan.limits.head_bytes) {
             log::warn!("event=request id={id} outcome=refused reason=\"the head is too large\"");
-            return plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+            return status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
         }
         let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
         let route = match self.route(host.unwrap_or_default(), parts.uri.path()).await {
@@ -139,7 +139,7 @@
 fn unread(parts: &Parts, err: &body::Error) -> Response<Full<Bytes>> {
     let id = text(parts, wire::REQUEST_ID).unwrap_or_default();
     log::warn!("event=request id={id} outcome=refused reason=\"{err}\"");
-    plain(match err {
+    status(match err {
         body::Error::Large(_) => StatusCode::PAYLOAD_TOO_LARGE,
         body::Error::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
         body::Error::Budget => StatusCode::SERVICE_UNAVAILABLE,
@@ -187,8 +187,8 @@
     match ended.outcome {
         Outcome::Answered(answer) => passed(answer),
         Outcome::Refused(refusal) => refused(refusal, ended.come_back),
-        Outcome::Unknown(Doubt::Timeout) => plain(StatusCode::GATEWAY_TIMEOUT),
-        Outcome::Unknown(_) => plain(StatusCode::BAD_GATEWAY),
+        Outcome::Unknown(Doubt::Timeout) => status(StatusCode::GATEWAY_TIMEOUT),
+        Outcome::Unknown(_) => status(StatusCode::BAD_GATEWAY),
     }
 }
 
@@ -198,7 +198,7 @@
         Ok(status) => *response.status_mut() = status,
         Err(err) => {
             log::error!("event=answer status={} error=\"{err}\"", answer.status);
-            return plain(StatusCode::BAD_GATEWAY);
+            return status(StatusCode::BAD_GATEWAY);
         }
     }
     let fields = answer.headers.iter().map(|field| (&*field.name, &field.value[..]));
@@ -209,9 +209,9 @@
 /// The answer to a request that did not run.
 fn refused(refusal: Refusal, come_back: Option<Duration>) -> Response<Full<Bytes>> {
     if refusal == Refusal::UnknownService {
-        return plain(StatusCode::NOT_FOUND);
+        return status(StatusCode::NOT_FOUND);
     }
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
     let seconds = come_back.map(|wait| format!("{:.3}", wait.as_secs_f64()));
     if let Some(Ok(value)) = seconds.map(|text| HeaderValue::from_str(&text)) {
         response.headers_mut().insert(http::header::RETRY_AFTER, value);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! [`feeds`], [`control`]) and the settings file ([`reload`]). All names of the platform come from
 //! `jackdawpin-platform`.
 
+mod answer;
 mod backend;
 mod control;
 mod convert;
--- a/crates/daemon/src/headers/mod.rs
+++ b/crates/daemon/src/headers/mod.rs
@@ -89,13 +89,8 @@
         .collect()
 }
 
-/// Adds fields to `map`. Fields that are not valid are left out; a peer of another version could
-/// send some.
-pub fn extend<'a>(map: &mut HeaderMap, fields: impl IntoIterator<Item = (&'a str, &'a [u8])>) {
-    extend_except(map, fields, &OWN_FIELDS);
-}
-
-/// Adds fields to `map`, other than those in `own` and those that are not valid.
+/// Adds fields to `map`, other than those in `own`. Fields that are not valid are left out; a peer of
+/// another version could send some.
 pub fn extend_except<'a>(
     map: &mut HeaderMap,
     fields: impl IntoIterator<Item = (&'a str, &'a [u8])>,
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -13,6 +13,7 @@
 use http::Method;
 use http::Request;
 use http::StatusCode;
+use http::Uri;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http_body_util::Full;
@@ -54,6 +55,12 @@
             source(err)
             display("{}", err)
         }
+        /// The path of the message is not valid.
+        Path(err: http::uri::InvalidUri) {
+            from()
+            source(err)
+            display("{}", err)
+        }
         /// A name in the answer is not valid.
         Name(err: name::Error) {
             from()
@@ -101,7 +108,7 @@
         timeout: Duration,
     ) -> Result<Bytes, Error> {
         let body = Bytes::from(wire::encode(message)?);
-        let request = request(Method::POST, path, body);
+        let request = request(Method::POST, Uri::from_static(path), body);
         call(&self.control, address, request, timeout, wire::MAX_MESSAGE).await
     }
 
@@ -116,20 +123,22 @@
         path: &'static str,
         timeout: Duration,
     ) -> Result<Bytes, Error> {
-        let request = request(Method::GET, path, Bytes::new());
+        let request = request(Method::GET, Uri::from_static(path), Bytes::new());
         call(&self.control, address, request, timeout, wire::MAX_MESSAGE).await
     }
 }
 
-fn request(method: Method, path: &'static str, body: Bytes) -> Request<Full<Bytes>> {
+pub(crate) fn request(method: Method, path: Uri, body: Bytes) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
-    *request.uri_mut() = http::Uri::from_static(path);
+    *request.uri_mut() = path;
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(wire::MEDIA_TYPE));
     request
 }
 
-async fn call(
+/// Sends a request to the entry at `address` and returns the body of a good answer, which has at most
+/// `limit` bytes.
+pub(crate) async fn call(
     client: &Client,
     address: SocketAddr,
     mut request: Request<Full<Bytes>>,
@@ -158,7 +167,7 @@
         let path = wire::path::FORWARD;
         let answer = usize::try_from(attempt.answer_limit).unwrap_or(usize::MAX);
         let limit = answer.saturating_add(wire::MAX_ENVELOPE);
-        let request = request(Method::POST, path, body.into());
+        let request = request(Method::POST, Uri::from_static(path), body.into());
         match call(&self.client, address, request, left, limit).await {
             Ok(bytes) => forward::decode(&attempt, &bytes),
             Err(Error::Exchange(err)) => {
