Place requests by what competes for a server, and refuse late ones first

Change: a place is taken with the probability that there is one left among the requests that other entries are expected to send unseen; the time that a caller has already waited is recognized by the time that it still waits, compared with what new requests state; the least success probability rises with the share of new requests that are refused; the slowdown by occupancy and the trusted length of queues are learned per service; the pause after a refusal is short if servers declined although they had room.

--- a/crates/core/src/direct/dispatch/call.rs
+++ b/crates/core/src/direct/dispatch/call.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use super::ANSWER_MARGIN;
+use super::retry_after;
 use crate::direct::config::Route;
 use crate::direct::fleet::Pick;
 use crate::direct::fleet::ServerNames;
@@ -28,12 +29,6 @@
 /// Latency target of a route that sets neither a target nor a timeout.
 const DEFAULT_LATENCY_TARGET: Duration = Duration::from_secs(1);
 
-/// Shortest time after which a refused caller is asked to send the request again.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(120);
-
-/// Span over which the times of refused callers are spread at random.
-const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(120);
-
 /// A request to be dispatched.
 #[derive(Debug, Clone, Copy)]
 pub struct Call<'a> {
@@ -45,6 +40,9 @@
     pub received: Instant,
     /// How long the caller waits from then on, if it says so.
     pub caller_timeout: Option<Duration>,
+    /// How long the caller had already waited for an answer when this entry received the request, if
+    /// the adapter knows it. The dispatcher takes it from the caller's timeouts otherwise.
+    pub waited: Duration,
     /// The part of the request that the server sees.
     pub content: &'a Content,
 }
@@ -58,7 +56,12 @@
         self.received + timeout.saturating_sub(ANSWER_MARGIN)
     }
 
-    /// Time from the arrival of the request within which an answer has its full value.
+    /// Time left at `now` within which an answer has its full value.
+    pub(super) fn time_left(&self, now: Instant) -> Duration {
+        self.latency_target().saturating_sub(self.waited + now.since(self.received))
+    }
+
+    /// Time from the caller's first try within which an answer has its full value.
     pub(super) fn latency_target(&self) -> Duration {
         self.route.latency_target.or(self.route.timeout).unwrap_or(DEFAULT_LATENCY_TARGET)
     }
@@ -96,6 +99,8 @@
     pub attempts: SmallVec<[AttemptRecord; 2]>,
     /// The expected time of the best server, if the request was refused because that is too long.
     pub best_expected: Option<Duration>,
+    /// How long the caller had already waited when this entry received the request.
+    pub waited: Duration,
 }
 
 /// The attempts of a request so far.
@@ -175,17 +180,25 @@
         self.attempts.last().is_some_and(|last| last.verdict == Verdict::TIMEOUT)
     }
 
-    pub(super) fn into_completion(self, outcome: Outcome, random: &impl Random) -> Completion {
-        let spread = u64::try_from(RETRY_AFTER_SPREAD.as_micros()).unwrap_or(u64::MAX);
-        let retry_after = MIN_RETRY_AFTER + Duration::from_micros(random.below(spread));
+    pub(super) fn into_completion(
+        self,
+        outcome: Outcome,
+        waited: Duration,
+        random: &impl Random,
+    ) -> Completion {
+        let retry_after = match outcome {
+            Outcome::Refused(refusal) => Some(retry_after::pause(refusal, random)),
+            _ => None,
+        };
         Completion {
-            retry_after: matches!(outcome, Outcome::Refused(_)).then_some(retry_after),
+            retry_after,
             outcome,
             sends: self.sends,
             hedged: self.hedged,
             last_pick: self.last_pick,
             attempts: self.attempts,
             best_expected: self.best_expected,
+            waited,
         }
     }
 }
--- a/crates/core/src/direct/dispatch/hedge.rs
+++ b/crates/core/src/direct/dispatch/hedge.rs
@@ -112,7 +112,7 @@
         }
         let usual_time = self.fleet.usual_time(&call.route.name, Duration::ZERO);
         let for_target = started + pick.expected_time.mul_f64(TARGET_HEDGE_FACTOR);
-        if for_target + usual_time < call.received + call.latency_target() {
+        if for_target + usual_time < call.received + call.time_left(call.received) {
             return Some(for_target);
         }
         let for_deadline = started + pick.expected_time.mul_f64(DEADLINE_HEDGE_FACTOR);
@@ -167,6 +167,7 @@
             Verdict::Ran(answer) if !answer.is_failure() => {
                 AttemptEnd::Answered(now.since(started))
             }
+            Verdict::MayHaveRun(Verdict::TIMEOUT) => AttemptEnd::Silent,
             Verdict::Ran(_) | Verdict::MayHaveRun(_) => AttemptEnd::Failed,
             Verdict::Shed => AttemptEnd::Shed,
             Verdict::Misdirected | Verdict::NotSent => AttemptEnd::Unreachable,
--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -8,8 +8,11 @@
 //! the probed servers would answer too late, the request is refused with a time after which the
 //! caller may retry.
 
+mod admission;
 mod call;
+mod caller_wait;
 mod hedge;
+mod retry_after;
 mod select;
 
 use std::collections::HashMap;
@@ -19,9 +22,12 @@
 use tokio::sync::Notify;
 
 use self::call::Progress;
+use self::caller_wait::CallerTimeouts;
 use self::select::Selection;
 use crate::direct::config::Config;
 use crate::direct::config::Route;
+use crate::direct::contention;
+use crate::direct::contention::Demand;
 use crate::direct::fleet::AttemptEnd;
 use crate::direct::fleet::Fleet;
 use crate::direct::fleet::Pick;
@@ -51,6 +57,10 @@
 /// left.
 const FENCE_AFTER: Duration = Duration::from_secs(5);
 
+/// Fraction of the new requests that are refused for overload below which nearly all requests are new
+/// ones.
+const CALM_REFUSED_FRACTION: f64 = 0.01;
+
 /// Limits that the platform and the operators set outside the configuration.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -81,10 +91,14 @@
     pub probes: u64,
 }
 
-/// What was used of the retry and probe budgets, and the counters.
+/// What was used of the retry and probe budgets, the rates of requests, and the counters.
 #[derive(Debug, Default)]
 struct Usage {
     retry_windows: HashMap<name::Service, retries::Window>,
+    demand: HashMap<name::Service, Demand>,
+    caller_timeouts: CallerTimeouts,
+    /// Number of live entries at the last refill of the probe budget.
+    entries: usize,
     probes: probes::Budget,
     counts: Counts,
 }
@@ -211,6 +225,7 @@
 
     /// Serves a request. Dropping the future drops the attempts in flight.
     pub async fn serve(self: &Arc<Self>, call: Call<'_>) -> Completion {
+        let call = Call { waited: call.waited.max(self.waited(&call)), ..call };
         let mut progress = Progress::default();
         let outcome = self.run_attempts(&call, &mut progress).await;
         let counts = &mut self.usage.lock().counts;
@@ -219,18 +234,21 @@
             Outcome::Refused(_) => counts.refused += 1,
             Outcome::Unknown(_) => counts.unknown += 1,
         }
-        progress.into_completion(outcome, &self.random)
+        progress.into_completion(outcome, call.waited, &self.random)
     }
 
     async fn run_attempts(self: &Arc<Self>, call: &Call<'_>, progress: &mut Progress) -> Outcome {
         let Some(service) = call.route.next_service() else {
             return Outcome::Refused(Refusal::NoServer);
         };
-        self.count_request(service);
+        self.count_request(call, service);
         loop {
             let pick = match self.select_server(call, service, &progress.tried).await {
                 Selection::Pick(pick) => pick,
                 Selection::Refused(refusal, best_expected) => {
+                    if refusal == Refusal::QueueFull {
+                        self.count_overload(call, service);
+                    }
                     progress.best_expected = best_expected;
                     return progress.outcome_without_success(refusal);
                 }
@@ -251,12 +269,51 @@
         }
     }
 
-    /// Counts the request for the retry budget of its service.
-    fn count_request(&self, service: &name::Service) {
+    /// How long the caller of a request has already waited, by the time that it will still wait.
+    fn waited(&self, call: &Call<'_>) -> Duration {
+        let Some(timeout) = call.caller_timeout else {
+            return Duration::ZERO;
+        };
+        let now = self.clock.now();
+        let mut usage = self.usage.lock();
+        let mut services = call.route.services.iter();
+        let calm = services.all(|weighted| {
+            let demand = usage.demand.get(&weighted.service);
+            demand.is_none_or(|demand| demand.refused_fraction(now) < CALM_REFUSED_FRACTION)
+        });
+        usage.caller_timeouts.waited(&call.route.name, timeout, calm)
+    }
+
+    /// Counts the request for the retry budget and the arrival rate of its service.
+    fn count_request(&self, call: &Call<'_>, service: &name::Service) {
         let limit = self.bounds.lock().retry;
         let now = self.clock.now();
         let mut usage = self.usage.lock();
         usage.retry_windows.entry(service.clone()).or_default().count_request(now, &limit);
+        let new = call.waited.is_zero();
+        usage.demand.entry(service.clone()).or_default().record_arrival(new, now);
+    }
+
+    /// Counts a request that is refused because all servers are overloaded, if it is a new one.
+    fn count_overload(&self, call: &Call<'_>, service: &name::Service) {
+        if call.waited.is_zero() {
+            let now = self.clock.now();
+            let mut usage = self.usage.lock();
+            usage.demand.entry(service.clone()).or_default().record_refusal(now);
+        }
+    }
+
+    /// The fraction of the new requests for `service` that are refused for overload.
+    fn refused_fraction(&self, service: &name::Service, now: Instant) -> f64 {
+        let usage = self.usage.lock();
+        usage.demand.get(service).map_or(0.0, |demand| demand.refused_fraction(now))
+    }
+
+    /// Requests per second for `service` that the other entries receive together.
+    fn competing_rate(&self, service: &name::Service, now: Instant) -> f64 {
+        let usage = self.usage.lock();
+        let own_rate = usage.demand.get(service).map_or(0.0, |demand| demand.arrival_rate(now));
+        contention::competing_rate(own_rate, usage.entries)
     }
 
     /// Whether one more attempt is allowed: by the attempts of the route, and by the service's
--- /dev/null
+++ b/crates/core/src/direct/dispatch/retry_after.rs
@@ -0,0 +1,26 @@
+//! When a refused caller may send its request again.
+//!
+//! Load pattern: callers that come back while the overload that they were refused for lasts are
+//! refused again, and those that come back together make the next peak. Callers that were refused
+//! for another reason, such as servers that decline requests although they have room, lose the rest
+//! of their latency target if they are kept away.
+
+use std::time::Duration;
+
+use crate::outcome::Refusal;
+use crate::port::Random;
+
+/// Shortest pause after a refusal by servers that have room.
+const MIN_PAUSE: Duration = Duration::from_millis(15);
+
+/// Shortest pause after any other refusal, in which an overload may pass.
+const MIN_OVERLOAD_PAUSE: Duration = Duration::from_millis(120);
+
+/// The pause before the caller sends a request again that was refused for this reason, spread at
+/// random between its shortest value and twice that.
+pub(super) fn pause(refusal: Refusal, random: &impl Random) -> Duration {
+    // The attempts were used up: servers were chosen that had room.
+    let shortest = if refusal == Refusal::Attempts { MIN_PAUSE } else { MIN_OVERLOAD_PAUSE };
+    let spread = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX);
+    shortest + Duration::from_micros(random.below(spread))
+}
--- a/crates/core/src/direct/dispatch/select.rs
+++ b/crates/core/src/direct/dispatch/select.rs
@@ -10,6 +10,7 @@
 
 use super::Call;
 use super::Dispatcher;
+use super::admission;
 use crate::direct::cold;
 use crate::direct::connections;
 use crate::direct::fleet;
@@ -48,9 +49,8 @@
 /// waits for one.
 const WAIT_DIVISOR: u32 = 6;
 
-/// Longest expected time that is accepted, as a factor on the latency target, by priority. Less
-/// urgent requests are refused first.
-const MAX_TIME_FACTORS: [f64; 3] = [1.3, 1.1, 0.9];
+/// Success probability from which on no further servers are probed for a request.
+const LIKELY_PROBABILITY: f64 = 0.85;
 
 /// Expected time that is always accepted, as a factor on the usual time. Requests that take longer
 /// than their latency target even without load must not be refused for overload.
@@ -120,11 +120,11 @@
             }
             considered.extend(probed);
             let now = self.clock.now();
-            let criteria = Criteria { only_likely: !last, ..self.criteria(call, service, now) };
+            let criteria = self.criteria(call, service, last, now);
             let name = service.as_str();
             let owns = |server: &name::Vm, domain: &name::Domain| self.owns(server, domain, now);
             let owned = self.fleet.owned_cold(name, &considered, now, owns);
-            choice = self.fleet.choose(name, &considered, &criteria, &owned, now);
+            choice = self.fleet.choose(name, &considered, &criteria, &owned, now, &self.random);
             if matches!(choice, Choice::Pick(_)) {
                 return choice;
             }
@@ -180,7 +180,11 @@
         let entries = self.peers.live_count(now);
         let rate = self.bounds.lock().probe_rate;
         let (usable, _) = self.fleet.server_counts(now);
-        self.usage.lock().probes.refill(now, rate, usable, entries);
+        {
+            let mut usage = self.usage.lock();
+            usage.entries = entries;
+            usage.probes.refill(now, rate, usable, entries);
+        }
         let config = self.config();
         let services = config.iter().flat_map(|config| &config.services);
         if let Some(connections) = services.map(|service| service.connections).min() {
@@ -199,30 +203,54 @@
         let dispatcher = Arc::clone(self);
         let (service, candidate, path) = (service.clone(), candidate.clone(), path.to_owned());
         tokio::spawn(async move {
+            let sent_at = dispatcher.clock.now();
             let answer = dispatcher.backend.probe(candidate.address, &path, PROBE_TIMEOUT).await;
             let (service, server) = (service.as_str(), candidate.server.as_str());
-            dispatcher.fleet.record_probe(service, server, answer.as_ref(), dispatcher.clock.now());
+            let now = dispatcher.clock.now();
+            dispatcher.fleet.record_probe(service, server, answer.as_ref(), sent_at, now);
         })
     }
 
-    fn criteria(&self, call: &Call<'_>, service: &name::Service, now: Instant) -> Criteria {
+    /// The conditions under which a server of `service` is chosen. If this is not the `last` round
+    /// of probes, it must be likely to answer within the latency target.
+    fn criteria(
+        &self,
+        call: &Call<'_>,
+        service: &name::Service,
+        last: bool,
+        now: Instant,
+    ) -> Criteria {
         let target = call.latency_target();
-        let elapsed = now.since(call.received);
         let usual_time =
             self.fleet.usual_time(&call.route.name, target.mul_f64(DEFAULT_USUAL_FRACTION));
-        let priority = usize::try_from(call.route.priority).unwrap_or(usize::MAX);
-        let factor = MAX_TIME_FACTORS[priority.min(MAX_TIME_FACTORS.len() - 1)];
+        let time_left = call.time_left(now);
+        let least =
+            admission::min_probability(call.route.priority, self.refused_fraction(service, now));
+        let work = Work { usual_time, time_left }.or_whole_target(target, least);
+        let (accept_within, min_probability, accepted_time) = if last {
+            let least = admission::raised_for_spent_time(least, target, time_left);
+            (target, least, usual_time.mul_f64(USUAL_TIME_FACTOR))
+        } else {
+            (work.time_left, LIKELY_PROBABILITY, Duration::ZERO)
+        };
+        Criteria {
+            work,
+            accept_within,
+            min_probability,
+            accepted_time,
+            overdue_at: now + target.mul_f64(OVERDUE_FACTOR),
+            cold_limit: self.cold_limit(service),
+            competing_rate: self.competing_rate(service, now),
+        }
+    }
+
+    /// Requests per second that this entry may send to a cold server of `service` that it owns.
+    fn cold_limit(&self, service: &name::Service) -> usize {
         let bounds = *self.bounds.lock();
         let config = self.config();
         let cold_rate =
             config.and_then(|config| Some(config.service(service)?.cold_rate)).unwrap_or(0.0);
-        Criteria {
-            work: Work { usual_time, time_left: target.saturating_sub(elapsed) },
-            max_time: target.mul_f64(factor).max(usual_time.mul_f64(USUAL_TIME_FACTOR)),
-            overdue_at: now + target.mul_f64(OVERDUE_FACTOR),
-            cold_limit: fleet::cold_allowance(cold_rate * bounds.cold_factor + bounds.cold_slack),
-            only_likely: false,
-        }
+        fleet::cold_allowance(cold_rate * bounds.cold_factor + bounds.cold_slack)
     }
 
     /// Whether this entry is one of the owners of `server`, which send to it while it is cold.
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -4,22 +4,23 @@
 //! probes: [`Fleet::candidates`] returns servers to probe if they have no fresh load report, and
 //! [`Fleet::choose`] picks the best with a fresh report and counts the attempt as in flight there.
 
+mod choice;
+mod curve;
+mod queue;
 mod score;
 mod server;
+mod table;
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
-use self::score::Observations;
-use self::server::InFlight;
 use self::server::Listing;
 use self::server::ServerState;
+use self::table::ServerTable;
 use crate::direct::cold;
 use crate::direct::port::ProbeAnswer;
 use crate::direct::rendezvous;
@@ -46,18 +47,6 @@
 /// together probe several times as many.
 const MAX_OTHER_DOMAIN_SERVERS: usize = 16;
 
-/// Success probability from which on no further servers are probed for a request.
-const LIKELY_PROBABILITY: f64 = 0.85;
-
-/// Weight of a new answer time in the average that estimates the usual time of a route.
-const USUAL_TIME_WEIGHT: f64 = 0.08;
-
-/// Factor on the usual time above which an answer time is cut off before it is averaged.
-const MAX_USUAL_TIME_FACTOR: f64 = 3.0;
-
-/// Largest number of routes whose usual time is kept.
-const MAX_ROUTES: usize = 2_048;
-
 /// Names of servers, such as those that were probed for one request.
 pub type ServerNames = SmallVec<[name::Vm; 12]>;
 
@@ -97,6 +86,8 @@
     pub report: LoadReport,
     /// Age of the load report at the time of the choice.
     pub report_age: Duration,
+    /// Fraction of the server's slots in use with this attempt; above 1 if it has to wait.
+    pub occupancy: f64,
     /// Expected time until the answer.
     pub expected_time: Duration,
     /// Probability that the answer arrives within the latency target.
@@ -123,6 +114,8 @@
     Shed,
     /// The server answered with an error, or gave no whole answer.
     Failed,
+    /// The server gave no answer until the deadline of the attempt.
+    Silent,
     /// The server could not be reached, or another server has its address.
     Unreachable,
     /// The entry dropped the attempt, which shows nothing about the server.
@@ -134,23 +127,26 @@
 pub struct Criteria {
     /// The work of the request.
     pub work: Work,
-    /// Longest expected time that is accepted.
-    pub max_time: Duration,
+    /// Time within which an accepted server is to answer.
+    pub accept_within: Duration,
+    /// Least probability of that.
+    pub min_probability: f64,
+    /// Expected time that is accepted whatever the probability.
+    pub accepted_time: Duration,
     /// When a missing answer starts to count as a failure.
     pub overdue_at: Instant,
     /// Requests per second that this entry may send to a cold server that it owns.
     pub cold_limit: usize,
-    /// Whether a server is chosen only if it is likely to answer within the latency target.
-    pub only_likely: bool,
+    /// Requests per second for the service that the other entries receive together.
+    pub competing_rate: f64,
 }
 
-#[derive(Debug, Default)]
-struct ServerTable {
-    services: HashMap<name::Service, Vec<ServerState>>,
-    service_of: HashMap<name::Vm, name::Service>,
-    out_of_service: HashSet<name::Domain>,
-    usual_seconds: HashMap<Box<str>, f64>,
-    next_attempt_id: u64,
+impl Criteria {
+    /// Whether a server with this expected time is accepted.
+    fn accepts(&self, expected_time: Duration) -> bool {
+        expected_time <= self.accepted_time
+            || score::success_probability(expected_time, self.accept_within) >= self.min_probability
+    }
 }
 
 /// The table of servers, as this entry sees them.
@@ -176,10 +172,10 @@
             table.remove(&old, &server.name);
         }
         table.service_of.insert(server.name.clone(), server.service.clone());
-        let states = table.services.entry(server.service.clone()).or_default();
-        match states.iter_mut().find(|state| state.server.name == server.name) {
+        let pool = table.pools.entry(server.service.clone()).or_default();
+        match pool.server(server.name.as_str()) {
             Some(state) => state.update(server, now),
-            None => states.push(ServerState::new(server, now)),
+            None => pool.servers.push(ServerState::new(server, now)),
         }
     }
 
@@ -215,7 +211,7 @@
     /// Numbers of usable servers and of all servers.
     pub fn server_counts(&self, now: Instant) -> (usize, usize) {
         let table = self.table.lock();
-        let states = || table.services.values().flatten();
+        let states = || table.pools.values().flat_map(|pool| &pool.servers);
         let usable = states().filter(|state| table.usable(state, now)).count();
         (usable, states().count())
     }
@@ -237,7 +233,7 @@
         random: &impl Random,
     ) -> SmallVec<[Candidate; 8]> {
         let table = self.table.lock();
-        let Some(states) = table.services.get(service) else {
+        let Some(pool) = table.pools.get(service) else {
             return SmallVec::new();
         };
         let wanted = |state: &&ServerState| {
@@ -246,7 +242,7 @@
                 && (scope == Scope::All || state.server.domain == self.domain)
                 && !excluded.contains(&state.server.name)
         };
-        let mut found: SmallVec<[&ServerState; 32]> = states.iter().filter(wanted).collect();
+        let mut found: SmallVec<[&ServerState; 32]> = pool.servers.iter().filter(wanted).collect();
         if scope == Scope::All {
             self.limit_other_domains(&mut found, count);
         }
@@ -280,16 +276,30 @@
         found.extend(others);
     }
 
-    /// Records the answer to a probe of `vm`. `None` and an answer of another server count as none.
-    pub fn record_probe(&self, service: &str, vm: &str, probe: Option<&ProbeAnswer>, now: Instant) {
+    /// Records the answer at `now` to a probe of `vm` that was sent at `sent_at`. `None` and an
+    /// answer of another server count as none.
+    pub fn record_probe(
+        &self,
+        service: &str,
+        vm: &str,
+        probe: Option<&ProbeAnswer>,
+        sent_at: Instant,
+        now: Instant,
+    ) {
         let mut table = self.table.lock();
-        let Some(state) = table.state(service, vm) else {
+        let Some(pool) = table.pools.get_mut(service) else {
+            return;
+        };
+        let Some(state) = pool.server(vm) else {
             return;
         };
         match probe {
             Some(probe) if probe.server.as_ref().is_none_or(|name| name.as_str() == vm) => {
-                state.record_report(now, probe.report);
+                state.record_report(now, now.since(sent_at), probe.report);
                 state.record_health(probe.healthy);
+                if let Some(load) = probe.report.load {
+                    pool.queue.record_waiting(load.waiting, load.slots);
+                }
             }
             _ => state.record_no_answer(now),
         }
@@ -312,86 +322,27 @@
 
     fn cold_among(&self, service: &str, considered: &ServerNames, now: Instant) -> ServerDomains {
         let table = self.table.lock();
-        let states = table.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let servers = table.pools.get(service).map_or(&[][..], |pool| &pool.servers);
         let cold = |state: &&ServerState| {
             considered.contains(&state.server.name)
                 && state.fresh_report(now).is_some_and(|report| !report.cold_for.is_zero())
         };
         let named = |state: &ServerState| (state.server.name.clone(), state.server.domain.clone());
-        states.iter().filter(cold).map(named).collect()
+        servers.iter().filter(cold).map(named).collect()
     }
 
-    /// Chooses the best of the servers in `considered` that have a fresh load report. A cold one is
-    /// chosen only if it is in `owned`. The attempt at the chosen server counts as in flight.
-    pub fn choose(
-        &self,
-        service: &str,
-        considered: &ServerNames,
-        criteria: &Criteria,
-        owned: &ServerNames,
-        now: Instant,
-    ) -> Choice {
-        let mut table = self.table.lock();
-        let mut best: Option<(f64, name::Vm, Duration)> = None;
-        for state in table.services.get(service).map(Vec::as_slice).unwrap_or_default() {
-            let name = &state.server.name;
-            if !considered.contains(name) || !table.usable(state, now) {
-                continue;
-            }
-            let Some(report) = state.fresh_report(now) else {
-                continue;
-            };
-            let cold = !report.cold_for.is_zero();
-            if cold && !(state.cold_sent.allows(now, criteria.cold_limit) && owned.contains(name)) {
-                continue;
-            }
-            let observations = self.observations(state, now);
-            let expected_time = score::expected_time(report, &observations, &criteria.work);
-            let value = score::value(expected_time, &observations, &criteria.work);
-            if best.as_ref().is_none_or(|(highest, ..)| value > *highest) {
-                best = Some((value, name.clone(), expected_time));
-            }
-        }
-        let Some((_, name, expected_time)) = best else {
-            return Choice::NoServer;
-        };
-        let probability = score::success_probability(expected_time, criteria.work.time_left);
-        if expected_time > criteria.max_time {
-            return Choice::Overloaded(expected_time);
-        }
-        if criteria.only_likely && probability < LIKELY_PROBABILITY {
-            return Choice::Overloaded(expected_time);
-        }
-        table
-            .start_attempt(service, &name, criteria, expected_time, probability, now)
-            .map_or(Choice::NoServer, Choice::Pick)
-    }
-
-    fn observations(&self, state: &ServerState, now: Instant) -> Observations {
-        Observations {
-            unreported: state.unreported(),
-            slots: state.server.slots,
-            in_flight: u32::try_from(state.in_flight.len()).unwrap_or(u32::MAX),
-            failure_rate: state.failure_rate(now),
-            other_domain: state.server.domain != self.domain,
-            unlisted: state.listing != Listing::Listed,
-        }
-    }
-
-    /// Records how an attempt ended. An answer updates the usual time of `route`, corrected for the
-    /// load that `pick` reports.
+    /// Records how an attempt ended. An answer updates the usual time of `route` and how servers slow
+    /// down, corrected for the load that `pick` reports.
     pub fn finish(&self, service: &str, route: &str, pick: &Pick, end: AttemptEnd, now: Instant) {
         let mut table = self.table.lock();
-        if let AttemptEnd::Answered(time) = end {
-            table.update_usual_time(route, pick, time);
-        }
+        table.learn(service, route, pick, end);
         let Some(state) = table.state(service, pick.server.as_str()) else {
             return;
         };
         state.in_flight.retain(|attempt| attempt.id != pick.attempt_id);
         match end {
             AttemptEnd::Answered(_) => state.record_success(now),
-            AttemptEnd::Failed => state.record_failure(now),
+            AttemptEnd::Failed | AttemptEnd::Silent => state.record_failure(now),
             AttemptEnd::Unreachable => {
                 state.record_failure(now);
                 state.record_no_answer(now);
@@ -401,99 +352,6 @@
     }
 }
 
-impl ServerTable {
-    fn state(&mut self, service: &str, server: &str) -> Option<&mut ServerState> {
-        let states = self.services.get_mut(service)?;
-        states.iter_mut().find(|state| state.server.name.as_str() == server)
-    }
-
-    fn remove(&mut self, service: &name::Service, server: &name::Vm) {
-        self.service_of.remove(server);
-        if let Some(states) = self.services.get_mut(service) {
-            states.retain(|state| state.server.name != *server);
-        }
-    }
-
-    /// Removes unlisted servers whose grace period is over and that have no attempts in flight.
-    fn remove_expired(&mut self, now: Instant) {
-        let expired = |state: &ServerState| match state.listing {
-            Listing::Listed => false,
-            Listing::UsableUntil(end) => end < now && state.in_flight.is_empty(),
-        };
-        for states in self.services.values_mut() {
-            for state in states.iter().filter(|state| expired(state)) {
-                self.service_of.remove(&state.server.name);
-            }
-            states.retain(|state| !expired(state));
-        }
-    }
-
-    /// Whether a server may receive work.
-    fn usable(&self, state: &ServerState, now: Instant) -> bool {
-        let in_grace = match state.listing {
-            Listing::Listed => true,
-            Listing::UsableUntil(end) => now <= end,
-        };
-        in_grace && !state.server.draining && !self.out_of_service.contains(&state.server.domain)
-    }
-
-    /// Counts an attempt as in flight. `None` if the server is cold and its limit is reached.
-    fn start_attempt(
-        &mut self,
-        service: &str,
-        server: &name::Vm,
-        criteria: &Criteria,
-        expected_time: Duration,
-        probability: f64,
-        now: Instant,
-    ) -> Option<Pick> {
-        let id = self.next_attempt_id;
-        self.next_attempt_id += 1;
-        let state = self.state(service, server.as_str())?;
-        let report = *state.fresh_report(now)?;
-        if !report.cold_for.is_zero() && !state.cold_sent.try_send(now, criteria.cold_limit) {
-            return None;
-        }
-        state.in_flight.push(InFlight { id, sent_at: now, overdue_at: criteria.overdue_at });
-        Some(Pick {
-            server: server.clone(),
-            address: state.server.address,
-            attempt_id: id,
-            report,
-            report_age: state.report_age(now).unwrap_or_default(),
-            expected_time,
-            success_probability: probability,
-        })
-    }
-
-    /// Updates the usual time of a route by the time of one answer, divided by the slowdown.
-    fn update_usual_time(&mut self, route: &str, pick: &Pick, time: Duration) {
-        if self.usual_seconds.len() >= MAX_ROUTES && !self.usual_seconds.contains_key(route) {
-            return;
-        }
-        let old = self.usual_seconds.get(route).copied();
-        let Some(load) = pick.report.load else {
-            self.average(route, old, time.as_secs_f64());
-            return;
-        };
-        // Answers of servers that are busy, slow or cold show more about the server than the work.
-        if load.slowdown <= 130
-            && load.running + load.waiting <= 1
-            && pick.report.cold_for.is_zero()
-        {
-            self.average(route, old, time.as_secs_f64() * 100.0 / f64::from(load.slowdown.max(20)));
-        }
-    }
-
-    fn average(&mut self, route: &str, old: Option<f64>, seconds: f64) {
-        let average = old.map_or(seconds, |old| {
-            // One delayed answer, for example after this process was suspended, shows little.
-            old + (seconds.min(old * MAX_USUAL_TIME_FACTOR) - old) * USUAL_TIME_WEIGHT
-        });
-        self.usual_seconds.insert(route.into(), average);
-    }
-}
-
 /// Requests per second that one owner may send to a cold server that can take `rate` per second.
 pub fn cold_allowance(rate: f64) -> usize {
     cold::allowance(rate, cold::OWNER_COUNT)
--- a/crates/core/src/direct/fleet/score.rs
+++ b/crates/core/src/direct/fleet/score.rs
@@ -4,12 +4,8 @@
 use std::time::Duration;
 
 use super::LoadReport;
-
-/// Fraction of the slots above which a server is nearly full and slows down.
-const NEARLY_FULL: f64 = 0.8;
-
-/// Factor on the time of work on a server that is nearly full.
-const NEARLY_FULL_FACTOR: f64 = 1.6;
+use super::curve::Curve;
+use super::queue::Queue;
 
 /// Factor on the time of work on a cold server.
 const COLD_FACTOR: f64 = 2.0;
@@ -39,6 +35,16 @@
     pub time_left: Duration,
 }
 
+impl Work {
+    /// The work, with the whole latency `target` left if it is late: if even an idle server at its
+    /// usual speed would answer within the time left with less than `min_probability`. Of servers
+    /// that are all too late, the one that leaves most room for others is then the best.
+    pub(in crate::direct) fn or_whole_target(self, target: Duration, min_probability: f64) -> Self {
+        let late = success_probability(self.usual_time, self.time_left) < min_probability;
+        if late { Self { time_left: target, ..self } } else { self }
+    }
+}
+
 /// What this entry knows of a server beside its load report.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Observations {
@@ -56,24 +62,54 @@
     pub(super) unlisted: bool,
 }
 
+impl Observations {
+    /// The observations after `further` requests were sent to the server.
+    pub(super) fn after(&self, further: u32) -> Self {
+        Self {
+            unreported: self.unreported.saturating_add(further),
+            in_flight: self.in_flight.saturating_add(further),
+            ..*self
+        }
+    }
+}
+
+/// The fraction of the slots of a server that are in use once it has one more request. It is above
+/// 1 if the request has to wait, and 0 if the server reports no load.
+pub(super) fn occupancy(report: &LoadReport, unreported: u32) -> f64 {
+    let Some(load) = report.load else {
+        return 0.0;
+    };
+    let busy = load.running.saturating_add(load.waiting).saturating_add(unreported);
+    (f64::from(busy) + 1.0) / f64::from(load.slots.max(1))
+}
+
+/// Whether the queue of a server has room for one more request. Without a load report, its length
+/// is not known and is not limited here.
+pub(super) fn fits_queue(report: &LoadReport, observations: &Observations, queue: &Queue) -> bool {
+    report.load.is_none_or(|load| {
+        let busy = load.running.saturating_add(load.waiting);
+        let busy = busy.saturating_add(observations.unreported);
+        busy < load.slots.saturating_add(queue.limit(load.slots))
+    })
+}
+
 /// The expected time until the answer.
 pub(super) fn expected_time(
     report: &LoadReport,
     observations: &Observations,
     work: &Work,
+    curve: &Curve,
 ) -> Duration {
     let (busy, slots, slowdown) = match report.load {
         Some(load) => {
-            let busy = load.running + load.waiting + observations.unreported;
-            (busy, load.slots, f64::from(load.slowdown) / 100.0)
+            let busy = load.running.saturating_add(load.waiting);
+            let slowdown = f64::from(load.slowdown) / 100.0;
+            (busy.saturating_add(observations.unreported), load.slots, slowdown)
         }
         None => (observations.in_flight, observations.slots, 1.0),
     };
     let (busy, slots) = (f64::from(busy), f64::from(slots.max(1)));
-    let mut factor = slowdown;
-    if (busy + 1.0) / slots > NEARLY_FULL {
-        factor *= NEARLY_FULL_FACTOR;
-    }
+    let mut factor = slowdown * curve.factor((busy + 1.0) / slots);
     if !report.cold_for.is_zero() {
         factor *= COLD_FACTOR;
     }
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -75,6 +75,15 @@
     pub slowdown: u32,
 }
 
+/// A load report, and how old it was when it arrived.
+#[derive(Debug, Clone, Copy)]
+struct ReceivedReport {
+    received_at: Instant,
+    /// Time between the probe and its answer.
+    round_trip: Duration,
+    report: LoadReport,
+}
+
 /// An attempt in flight at a server.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct InFlight {
@@ -98,8 +107,8 @@
 pub(super) struct ServerState {
     pub(super) server: Server,
     pub(super) listing: Listing,
-    /// The last load report and when it arrived.
-    report: Option<(Instant, LoadReport)>,
+    /// The last load report.
+    report: Option<ReceivedReport>,
     /// Whether the server reports to be healthy.
     healthy: bool,
     pub(super) in_flight: SmallVec<[InFlight; 4]>,
@@ -149,17 +158,27 @@
 
     /// The load report, if it is fresh enough for a choice.
     pub(super) fn fresh_report(&self, now: Instant) -> Option<&LoadReport> {
-        let (at, report) = self.report.as_ref()?;
-        (now.since(*at) <= MAX_REPORT_AGE).then_some(report)
+        let received = self.report.as_ref()?;
+        (now.since(received.received_at) <= MAX_REPORT_AGE).then_some(&received.report)
     }
 
     /// Age of the last load report.
     pub(super) fn report_age(&self, now: Instant) -> Option<Duration> {
-        self.report.as_ref().map(|(at, _)| now.since(*at))
+        self.report.as_ref().map(|received| now.since(received.received_at))
+    }
+
+    /// Time between the server's last load report and the arrival of a request that is sent now.
+    /// Requests of other entries that arrive in it are not seen here. A request takes about as long
+    /// to the server as the report took from it, so the whole round trip counts.
+    pub(super) fn unseen_time(&self, now: Instant) -> Duration {
+        self.report.as_ref().map_or(Duration::ZERO, |received| {
+            (now.since(received.received_at) + received.round_trip).min(MAX_REPORT_AGE)
+        })
     }
 
-    pub(super) fn record_report(&mut self, now: Instant, report: LoadReport) {
-        self.report = Some((now, report));
+    /// Records a load report that arrived `round_trip` after it was requested.
+    pub(super) fn record_report(&mut self, now: Instant, round_trip: Duration, report: LoadReport) {
+        self.report = Some(ReceivedReport { received_at: now, round_trip, report });
     }
 
     /// Records that the server answered a probe, and whether it reports to be healthy.
@@ -179,8 +198,9 @@
 
     /// Attempts sent since the last load report, which does not count them.
     pub(super) fn unreported(&self) -> u32 {
-        let at = self.report.as_ref().map_or(Instant::default(), |(at, _)| *at);
-        let later = self.in_flight.iter().filter(|attempt| attempt.sent_at >= at).count();
+        let reported_at =
+            self.report.as_ref().map_or(Instant::default(), |received| received.received_at);
+        let later = self.in_flight.iter().filter(|attempt| attempt.sent_at >= reported_at).count();
         u32::try_from(later).unwrap_or(u32::MAX)
     }
 
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -5,6 +5,8 @@
 //! time, so an entry probes several servers at once and sends the request to the best ([`fleet`],
 //! [`dispatch`]).
 //!
+//! What other entries send at the same moment is estimated ([`contention`]).
+//!
 //! Entries share five limits without coordination, each by its share of the live entries: the rate
 //! of cold servers ([`cold`]), the retry budget of a service ([`retries`]), the connections of a
 //! server ([`connections`]), the readers of the platform's store ([`replica`]) and the addresses
@@ -17,6 +19,7 @@
 pub mod cold;
 pub mod config;
 pub mod connections;
+pub mod contention;
 pub mod dispatch;
 pub mod fleet;
 pub mod peers;
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -43,7 +43,14 @@
 ) -> (Completion, Duration) {
     let content = content();
     let received = dispatcher.clock().now();
-    let call = Call { id, route, received, caller_timeout: Some(ms(1_500)), content: &content };
+    let call = Call {
+        id,
+        route,
+        received,
+        caller_timeout: Some(ms(1_500)),
+        waited: Duration::ZERO,
+        content: &content,
+    };
     let completion = dispatcher.serve(call).await;
     (completion, dispatcher.clock().now().since(received))
 }
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -39,10 +39,12 @@
 fn criteria(now: Instant) -> Criteria {
     Criteria {
         work: Work { usual_time: USUAL_TIME, time_left: ms(300) },
-        max_time: ms(400),
+        accept_within: ms(400),
+        min_probability: 0.5,
+        accepted_time: ms(150),
         overdue_at: now + ms(400),
         cold_limit: 2,
-        only_likely: false,
+        competing_rate: 0.0,
     }
 }
 
@@ -59,7 +61,7 @@
 fn record_report(fleet: &Fleet, number: u16, report: LoadReport, now: Instant) {
     let name = format!("s{number}");
     let probe = ProbeAnswer { server: Some(vm(&name)), healthy: true, report };
-    fleet.record_probe(SERVICE, &name, Some(&probe), now);
+    fleet.record_probe(SERVICE, &name, Some(&probe), now.before(ms(2)), now);
 }
 
 /// The names of servers 1 to 9.
@@ -69,7 +71,7 @@
 
 /// Chooses among all servers; cold ones are owned.
 fn choose(fleet: &Fleet, now: Instant) -> Choice {
-    fleet.choose(SERVICE, &all_names(), &criteria(now), &all_names(), now)
+    fleet.choose(SERVICE, &all_names(), &criteria(now), &all_names(), now, &SeededRandom::new(1))
 }
 
 /// The name of the chosen server; empty if none was chosen.
@@ -190,7 +192,7 @@
 fn other_server_answers() {
     let fleet = fleet(&[server(1, "a")]);
     let probe = ProbeAnswer { server: Some(vm("s9")), healthy: true, report: idle_report() };
-    fleet.record_probe(SERVICE, "s1", Some(&probe), at(10));
+    fleet.record_probe(SERVICE, "s1", Some(&probe), at(8), at(10));
     assert_eq!(choose(&fleet, at(11)), Choice::NoServer);
     let found = fleet.candidates(
         SERVICE,
@@ -258,8 +260,14 @@
 fn cold_share() {
     let fleet = fleet(&[server(1, "a")]);
     record_report(&fleet, 1, cold_report(), at(10));
-    let not_owned =
-        fleet.choose(SERVICE, &all_names(), &criteria(at(10)), &ServerNames::new(), at(10));
+    let not_owned = fleet.choose(
+        SERVICE,
+        &all_names(),
+        &criteria(at(10)),
+        &ServerNames::new(),
+        at(10),
+        &SeededRandom::new(1),
+    );
     assert_eq!(not_owned, Choice::NoServer);
     let mut times = Vec::new();
     for now in (10..3_000).step_by(5).map(at) {
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 #![allow(clippy::unwrap_used, reason = "only tests use this module")]
 
+pub mod queues;
+
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -113,7 +115,7 @@
 }
 
 /// The time of the test's runtime, which advances only while all tasks wait.
-#[derive(Clone, Copy)]
+#[derive(Debug, Clone, Copy)]
 pub struct PausedClock(pub tokio::time::Instant);
 
 impl Clock for PausedClock {
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -115,7 +115,8 @@
         };
         let caller_timeout = caller_timeout(&parts, id);
         let content = content(&parts, body);
-        let call = Call { id, route: &route, received, caller_timeout, content: &content };
+        let waited = Duration::ZERO;
+        let call = Call { id, route: &route, received, caller_timeout, waited, content: &content };
         let active_request = self.request_log.start(id, &route.name);
         let completion = self.dispatcher.serve(call).await;
         let took = self.dispatcher.clock().now().since(received);
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -93,8 +93,9 @@
         };
         let mut line = format!(
             "event=request id={id} route={route} outcome={outcome} reason={reason} took_ms={} \
-             sends={} hedged={}",
+             waited_ms={} sends={} hedged={}",
             took.as_millis(),
+            completion.waited.as_millis(),
             completion.sends,
             completion.hedged,
         );
