Pass uploads on as they arrive, and warn of unknown kinds of routes

Cause: an upload was a kind that fell into "anything else": its body was read whole before a server was chosen, so 40 uploads of 900 kB under way took 30 MB more memory, and a caller that left midway was noticed only by its own connection.

Change: the checked configuration has a kind for uploads. Their bodies go from the caller's connection to the server's frame by frame, with backpressure; a body that breaks off or is over the limit closes the server's connection, so that it is never taken for a whole one; an upload of which a part was sent is not sent to a second server; a connection on which the rest of a body is due is not used again. Kinds that are not known run at most once, and are logged once a configuration.

--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -22,6 +22,24 @@
     pub weight: u32,
 }
 
+/// How often the requests of a route may run, and how their bodies are passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request runs at most once.
+    AtMostOnce,
+    /// A request runs at most once, and its large body is passed on as it arrives.
+    Upload,
+}
+
+impl Kind {
+    /// Whether a request may run more than once.
+    pub fn is_idempotent(self) -> bool {
+        self == Self::Idempotent
+    }
+}
+
 /// Where requests to a host are sent whose path has a prefix, and how they are handled.
 #[derive(Debug)]
 pub struct Route {
@@ -29,8 +47,8 @@
     pub name: Box<str>,
     /// Prefix of the paths of the route; starts and ends with a slash.
     pub prefix: Box<str>,
-    /// Whether a request may run more than once.
-    pub idempotent: bool,
+    /// How often a request may run, and how its body is passed on.
+    pub kind: Kind,
     /// Longest time from the arrival of a request to its answer.
     pub timeout: Option<Duration>,
     /// Time within which an answer has its full value.
@@ -111,6 +129,8 @@
     pub services: Vec<Service>,
     /// Limits on callers.
     pub limits: Limits,
+    /// Kinds of routes that are not known here. The requests of such routes run at most once.
+    pub unknown_kinds: SmallVec<[Box<str>; 1]>,
 }
 
 impl Config {
--- a/crates/core/src/direct/dispatch/call.rs
+++ b/crates/core/src/direct/dispatch/call.rs
@@ -30,8 +30,8 @@
 const DEFAULT_LATENCY_TARGET: Duration = Duration::from_secs(1);
 
 /// A request to be dispatched.
-#[derive(Debug, Clone, Copy)]
-pub struct Call<'a> {
+#[derive(Debug)]
+pub struct Call<'a, U> {
     /// The caller's id of the request.
     pub id: &'a str,
     /// Route of the request.
@@ -45,9 +45,11 @@
     pub waited: Duration,
     /// The part of the request that the server sees.
     pub content: &'a Content,
+    /// The body, if it is passed on as it arrives.
+    pub upload: Option<&'a U>,
 }
 
-impl Call<'_> {
+impl<U> Call<'_, U> {
     /// When the request must have ended.
     pub(super) fn deadline(&self) -> Instant {
         let caller_timeout = self.caller_timeout.unwrap_or(DEFAULT_TIMEOUT);
--- a/crates/core/src/direct/dispatch/hedge.rs
+++ b/crates/core/src/direct/dispatch/hedge.rs
@@ -60,7 +60,7 @@
     /// the request as well. Returns the first answer that does not report an error.
     pub(super) async fn send_with_hedge(
         self: &Arc<Self>,
-        call: &Call<'_>,
+        call: &Call<'_, B::Upload>,
         service: &name::Service,
         pick: &Pick,
         progress: &mut Progress,
@@ -102,12 +102,12 @@
     /// When a hedge is worth its load; `None` if never.
     fn hedge_at(
         &self,
-        call: &Call<'_>,
+        call: &Call<'_, B::Upload>,
         progress: &Progress,
         pick: &Pick,
         started: Instant,
     ) -> Option<Instant> {
-        if !call.route.idempotent || progress.sends + 1 >= call.route.max_attempts {
+        if !call.route.kind.is_idempotent() || progress.sends + 1 >= call.route.max_attempts {
             return None;
         }
         let usual_time = self.fleet.usual_time(&call.route.name, Duration::ZERO);
@@ -124,7 +124,7 @@
     async fn select_hedge(
         self: &Arc<Self>,
         hedge_at: Instant,
-        call: &Call<'_>,
+        call: &Call<'_, B::Upload>,
         service: &name::Service,
         first: &Pick,
         progress: &Progress,
@@ -144,7 +144,12 @@
     }
 
     /// Sends one attempt to `pick`, and records its end in the table of servers.
-    async fn send(&self, call: &Call<'_>, service: &name::Service, pick: &Pick) -> Verdict {
+    async fn send(
+        &self,
+        call: &Call<'_, B::Upload>,
+        service: &name::Service,
+        pick: &Pick,
+    ) -> Verdict {
         let started = self.clock.now();
         let guard = AttemptGuard {
             fleet: &self.fleet,
@@ -159,6 +164,7 @@
             server: &pick.server,
             address: pick.address,
             content: call.content,
+            upload: call.upload,
             deadline: call.deadline(),
         };
         let verdict = self.backend.send(attempt).await;
@@ -168,6 +174,7 @@
                 AttemptEnd::Answered(now.since(started))
             }
             Verdict::MayHaveRun(Verdict::TIMEOUT) => AttemptEnd::Silent,
+            Verdict::MayHaveRun(Verdict::BODY_CUT) => AttemptEnd::Abandoned,
             Verdict::Ran(_) | Verdict::MayHaveRun(_) => AttemptEnd::Failed,
             Verdict::Shed => AttemptEnd::Shed,
             Verdict::Misdirected | Verdict::NotSent => AttemptEnd::Unreachable,
--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -33,6 +33,7 @@
 use crate::direct::fleet::Pick;
 use crate::direct::peers::Peers;
 use crate::direct::port::Backend;
+use crate::direct::port::Upload;
 use crate::direct::probes;
 use crate::direct::retries;
 use crate::lock::Mutex;
@@ -224,7 +225,7 @@
     }
 
     /// Serves a request. Dropping the future drops the attempts in flight.
-    pub async fn serve(self: &Arc<Self>, call: Call<'_>) -> Completion {
+    pub async fn serve(self: &Arc<Self>, call: Call<'_, B::Upload>) -> Completion {
         let call = Call { waited: call.waited.max(self.waited(&call)), ..call };
         let mut progress = Progress::default();
         let outcome = self.run_attempts(&call, &mut progress).await;
@@ -237,7 +238,11 @@
         progress.into_completion(outcome, call.waited, &self.random)
     }
 
-    async fn run_attempts(self: &Arc<Self>, call: &Call<'_>, progress: &mut Progress) -> Outcome {
+    async fn run_attempts(
+        self: &Arc<Self>,
+        call: &Call<'_, B::Upload>,
+        progress: &mut Progress,
+    ) -> Outcome {
         let Some(service) = call.route.next_service() else {
             return Outcome::Refused(Refusal::NoServer);
         };
@@ -260,7 +265,8 @@
             if let Some(answer) = self.send_with_hedge(call, service, &pick, progress).await {
                 return Outcome::Answered(answer);
             }
-            if progress.may_have_run() && !call.route.idempotent {
+            let upload_begun = call.upload.is_some_and(Upload::has_begun);
+            if upload_begun || progress.may_have_run() && !call.route.kind.is_idempotent() {
                 return progress.outcome_without_success(Refusal::Attempts);
             }
             if self.clock.now() >= call.deadline() {
@@ -270,7 +276,7 @@
     }
 
     /// How long the caller of a request has already waited, by the time that it will still wait.
-    fn waited(&self, call: &Call<'_>) -> Duration {
+    fn waited(&self, call: &Call<'_, B::Upload>) -> Duration {
         let Some(timeout) = call.caller_timeout else {
             return Duration::ZERO;
         };
@@ -285,7 +291,7 @@
     }
 
     /// Counts the request for the retry budget and the arrival rate of its service.
-    fn count_request(&self, call: &Call<'_>, service: &name::Service) {
+    fn count_request(&self, call: &Call<'_, B::Upload>, service: &name::Service) {
         let limit = self.bounds.lock().retry;
         let now = self.clock.now();
         let mut usage = self.usage.lock();
@@ -295,7 +301,7 @@
     }
 
     /// Counts a request that is refused because all servers are overloaded, if it is a new one.
-    fn count_overload(&self, call: &Call<'_>, service: &name::Service) {
+    fn count_overload(&self, call: &Call<'_, B::Upload>, service: &name::Service) {
         if call.waited.is_zero() {
             let now = self.clock.now();
             let mut usage = self.usage.lock();
@@ -320,7 +326,7 @@
     /// retry budget if an earlier attempt has reached a server.
     fn allow_attempt(
         &self,
-        call: &Call<'_>,
+        call: &Call<'_, B::Upload>,
         service: &name::Service,
         progress: &mut Progress,
     ) -> bool {
@@ -352,7 +358,7 @@
     }
 
     /// Ends the attempt at `pick`, which was not sent.
-    fn release(&self, call: &Call<'_>, service: &name::Service, pick: &Pick) {
+    fn release(&self, call: &Call<'_, B::Upload>, service: &name::Service, pick: &Pick) {
         let result = AttemptEnd::Abandoned;
         let now = self.clock.now();
         self.fleet.finish(service.as_str(), &call.route.name, pick, result, now);
--- a/crates/core/src/direct/dispatch/select.rs
+++ b/crates/core/src/direct/dispatch/select.rs
@@ -77,7 +77,7 @@
     /// a part of the latency target.
     pub(super) async fn select_server(
         self: &Arc<Self>,
-        call: &Call<'_>,
+        call: &Call<'_, B::Upload>,
         service: &name::Service,
         tried: &ServerNames,
     ) -> Selection {
@@ -105,7 +105,7 @@
     /// a server that is less likely to.
     async fn probe_and_choose(
         self: &Arc<Self>,
-        call: &Call<'_>,
+        call: &Call<'_, B::Upload>,
         service: &name::Service,
         tried: &ServerNames,
     ) -> Choice {
@@ -215,7 +215,7 @@
     /// of probes, it must be likely to answer within the latency target.
     fn criteria(
         &self,
-        call: &Call<'_>,
+        call: &Call<'_, B::Upload>,
         service: &name::Service,
         last: bool,
         now: Instant,
--- a/crates/core/src/direct/port.rs
+++ b/crates/core/src/direct/port.rs
@@ -29,6 +29,9 @@
     /// Cause of [`Verdict::MayHaveRun`] if the answer did not arrive in time.
     pub const TIMEOUT: &'static str = "timeout";
 
+    /// Cause of [`Verdict::MayHaveRun`] if the caller did not send the whole body.
+    pub const BODY_CUT: &'static str = "body_cut";
+
     /// The verdict as a word for the log.
     pub fn as_str(&self) -> &'static str {
         match self {
@@ -41,9 +44,15 @@
     }
 }
 
+/// The body of a request that is passed on as it arrives, instead of being held whole.
+pub trait Upload: Send + Sync + 'static {
+    /// Whether a part of the body has been passed on. It then cannot be sent to another server.
+    fn has_begun(&self) -> bool;
+}
+
 /// One attempt: a request, and the server that it is sent to.
-#[derive(Debug, Clone, Copy)]
-pub struct Attempt<'a> {
+#[derive(Debug)]
+pub struct Attempt<'a, U> {
     /// The caller's id of the request.
     pub id: &'a str,
     /// The server that must run the request; any other one refuses it.
@@ -52,6 +61,8 @@
     pub address: SocketAddr,
     /// The part of the request that the server sees.
     pub content: &'a Content,
+    /// The body, if it is not in `content`.
+    pub upload: Option<&'a U>,
     /// When the server must have answered.
     pub deadline: Instant,
 }
@@ -69,9 +80,12 @@
 
 /// Sends requests and probes to servers.
 pub trait Backend: Send + Sync + 'static {
+    /// Bodies that are passed on as they arrive.
+    type Upload: Upload;
+
     /// Sends one attempt and waits for its whole answer, at most until its deadline. Dropping the
     /// future closes the connection.
-    fn send(&self, attempt: Attempt<'_>) -> impl Future<Output = Verdict> + Send;
+    fn send(&self, attempt: Attempt<'_, Self::Upload>) -> impl Future<Output = Verdict> + Send;
 
     /// Keeps at most `max` idle connections to each server from now on.
     fn set_max_idle(&self, max: usize);
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -12,6 +12,7 @@
 use crate::direct_support::PausedClock;
 use crate::direct_support::ServerDoubles;
 use crate::direct_support::TestDispatcher;
+use crate::direct_support::UploadDouble;
 use crate::direct_support::cold_report;
 use crate::direct_support::config;
 use crate::direct_support::content;
@@ -23,6 +24,7 @@
 use crate::direct_support::ms;
 use crate::direct_support::route;
 use crate::direct_support::server;
+use jackdawpin_core::direct::config::Kind;
 use jackdawpin_core::direct::config::Route;
 use jackdawpin_core::direct::connections;
 use jackdawpin_core::direct::dispatch::Call;
@@ -50,6 +52,7 @@
         caller_timeout: Some(ms(1_500)),
         waited: Duration::ZERO,
         content: &content,
+        upload: None,
     };
     let completion = dispatcher.serve(call).await;
     (completion, dispatcher.clock().now().since(received))
@@ -451,3 +454,34 @@
     let again = tokio::time::timeout(ms(1), dispatcher.wait_for_config()).await;
     assert!(again.is_ok(), "a configuration is in force");
 }
+
+/// Guards against an upload that is sent to a second server after the first has received a part of
+/// its body, which no longer exists, and against one that is given up before any of it was sent.
+#[rstest]
+#[case::received_and_shed(Behaviour::Shed, false)]
+#[case::not_sent(Behaviour::Unreachable, true)]
+#[tokio::test(start_paused = true)]
+async fn upload_is_sent_once(#[case] bad: Behaviour, #[case] retried: bool) {
+    let mut answered = 0;
+    for seed in 0..10 {
+        let doubles = ServerDoubles::default();
+        let dispatcher = entry(&doubles, &[bad.clone(), Behaviour::Answer(200, WORK_TIME)], seed);
+        // The first server looks like the best one when it is probed.
+        doubles.add(2, Behaviour::Answer(200, WORK_TIME), loaded_report(2, 100));
+        let route = Route { kind: Kind::Upload, ..route(false) };
+        let (content, upload) = (content(), UploadDouble::default());
+        let call = Call {
+            id: "1",
+            route: &route,
+            received: dispatcher.clock().now(),
+            caller_timeout: Some(ms(1_500)),
+            waited: Duration::ZERO,
+            content: &content,
+            upload: Some(&upload),
+        };
+        let completion = dispatcher.serve(call).await;
+        answered += u32::from(matches!(completion.outcome, Outcome::Answered(_)));
+        assert!(doubles.arrivals().len() <= 1, "seed {seed}: {:?}", doubles.arrivals());
+    }
+    assert_eq!(answered, if retried { 10 } else { 0 });
+}
--- a/crates/core/tests/direct_overload.rs
+++ b/crates/core/tests/direct_overload.rs
@@ -179,6 +179,7 @@
         caller_timeout: Some(caller_timeout),
         waited: Duration::ZERO,
         content: &content,
+        upload: None,
     };
     dispatcher.serve(call).await
 }
@@ -310,6 +311,7 @@
                 caller_timeout,
                 waited,
                 content: &content,
+                upload: None,
             };
             let completion = entry.serve(call).await;
             (completion, entry.clock().now().since(received))
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -10,13 +10,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 
 use jackdawpin_core::direct::config::Config;
 use jackdawpin_core::direct::config::Host;
+use jackdawpin_core::direct::config::Kind;
 use jackdawpin_core::direct::config::Limits;
 use jackdawpin_core::direct::config::Route;
 use jackdawpin_core::direct::config::Service;
@@ -32,6 +35,7 @@
 use jackdawpin_core::direct::port::Attempt;
 use jackdawpin_core::direct::port::Backend;
 use jackdawpin_core::direct::port::ProbeAnswer;
+use jackdawpin_core::direct::port::Upload;
 use jackdawpin_core::direct::port::Verdict;
 use jackdawpin_core::direct::retries;
 use jackdawpin_core::name;
@@ -134,6 +138,16 @@
     }
 }
 
+/// A body that is passed on as it arrives: it has begun once a server double has received it.
+#[derive(Debug, Default)]
+pub struct UploadDouble(pub AtomicBool);
+
+impl Upload for UploadDouble {
+    fn has_begun(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// What a server double does with attempts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Behaviour {
@@ -208,12 +222,17 @@
 }
 
 impl Backend for ServerDoubles {
-    async fn send(&self, attempt: Attempt<'_>) -> Verdict {
+    type Upload = UploadDouble;
+
+    async fn send(&self, attempt: Attempt<'_, UploadDouble>) -> Verdict {
         let double = self.0.lock().unwrap().doubles.get(&attempt.address).cloned();
         let Some(double) = double.filter(|double| double.behaviour != Behaviour::Unreachable)
         else {
             return Verdict::NotSent;
         };
+        if let Some(upload) = attempt.upload {
+            upload.0.store(true, Ordering::Relaxed);
+        }
         {
             let mut state = self.0.lock().unwrap();
             state.arrivals.push((attempt.id.to_owned(), double.name.clone()));
@@ -280,7 +299,7 @@
     Route {
         name: "r".into(),
         prefix: "/r/".into(),
-        idempotent,
+        kind: if idempotent { Kind::Idempotent } else { Kind::AtMostOnce },
         timeout: Some(ms(800)),
         latency_target: Some(ms(300)),
         priority: 1,
@@ -309,6 +328,7 @@
             head_timeout: ms(3_000),
             idle_timeout: ms(15_000),
         },
+        unknown_kinds: smallvec::SmallVec::new(),
     }
 }
 
--- a/crates/core/tests/direct_support/queues.rs
+++ b/crates/core/tests/direct_support/queues.rs
@@ -13,6 +13,7 @@
 use super::PROBE_TIME;
 use super::PausedClock;
 use super::SeededRandom;
+use super::UploadDouble;
 use super::address;
 use super::config;
 use super::domain;
@@ -129,7 +130,9 @@
 }
 
 impl Backend for QueueServers {
-    async fn send(&self, attempt: Attempt<'_>) -> Verdict {
+    type Upload = UploadDouble;
+
+    async fn send(&self, attempt: Attempt<'_, UploadDouble>) -> Verdict {
         let now = jackdawpin_core::port::Clock::now(&self.clock);
         tokio::time::sleep(LATENCY).await;
         let server = &self.by_address[&attempt.address];
--- a/crates/daemon/src/exchange/idle.rs
+++ b/crates/daemon/src/exchange/idle.rs
@@ -6,11 +6,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 
+use super::upload::RequestBody;
 use jackdawpin_core::lock::Mutex;
 use jackdawpin_core::lock::Rank;
 
@@ -27,7 +26,7 @@
 const SWEEP_THRESHOLD: usize = 1_024;
 
 /// Sends requests on one connection.
-pub(super) type Sender = SendRequest<Full<Bytes>>;
+pub(super) type Sender = SendRequest<RequestBody>;
 
 #[derive(Debug)]
 struct IdleConnection {
--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -13,6 +13,7 @@
 mod error;
 mod idle;
 pub mod request;
+pub mod upload;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,7 +22,6 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -30,6 +30,7 @@
 
 use self::idle::IdlePool;
 use self::idle::Sender;
+use self::upload::RequestBody;
 use crate::listen::BufferBudget;
 use crate::listen::body;
 use crate::traffic::CountingStream;
@@ -84,8 +85,9 @@
     }
 
     /// Sends a request and returns its complete answer, with at most `max_body_bytes` of body. The
-    /// connection is reused only if `is_own_answer` accepts the answer's header fields: an answer
-    /// to another request means that requests and answers on the connection no longer correspond.
+    /// connection is reused only if `is_reusable` accepts the answer's header fields once it is
+    /// complete: an answer to another request means that requests and answers on the connection no
+    /// longer correspond.
     ///
     /// # Errors
     ///
@@ -94,13 +96,14 @@
     pub async fn exchange(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<RequestBody>>,
         timeout: Duration,
         max_body_bytes: usize,
-        is_own_answer: impl Fn(&HeaderMap) -> bool,
+        is_reusable: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, Error> {
         let mut send_state = SendState::Unsent;
-        let exchange = self.send(address, request, max_body_bytes, is_own_answer, &mut send_state);
+        let request = request.map(Into::into);
+        let exchange = self.send(address, request, max_body_bytes, is_reusable, &mut send_state);
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
             Err(_) if send_state == SendState::Unsent => Err(Error::NotSent("timed out".into())),
@@ -113,9 +116,9 @@
     async fn send(
         &self,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<RequestBody>,
         max_body_bytes: usize,
-        is_own_answer: impl Fn(&HeaderMap) -> bool,
+        is_reusable: impl Fn(&HeaderMap) -> bool,
         send_state: &mut SendState,
     ) -> Result<Response<Bytes>, Error> {
         loop {
@@ -123,8 +126,11 @@
             *send_state = SendState::MaybeSent;
             match sender.try_send_request(request).await {
                 Ok(response) => {
-                    let reusable = is_own_answer(response.headers()).then_some(sender);
-                    return self.receive(address, reusable, response, max_body_bytes).await;
+                    let response = self.receive(response, max_body_bytes).await?;
+                    if is_reusable(response.headers()) {
+                        self.idle.push(address, sender);
+                    }
+                    return Ok(response);
                 }
                 Err(mut failure) => {
                     // hyper returns the request only if it has not begun to write it.
@@ -152,11 +158,9 @@
         Ok((connect(address, self.traffic.clone()).await?, false))
     }
 
-    /// Reads the body of a response, then returns its connection to the pool.
+    /// Reads the body of a response.
     async fn receive(
         &self,
-        address: SocketAddr,
-        sender: Option<Sender>,
         response: Response<Incoming>,
         max_body_bytes: usize,
     ) -> Result<Response<Bytes>, Error> {
@@ -167,9 +171,6 @@
             Err(body::Error::Large(limit)) => return Err(Error::Large(limit)),
             Err(err) => return Err(Error::Answer(err.to_string())),
         };
-        if let Some(sender) = sender {
-            self.idle.push(address, sender);
-        }
         Ok(Response::from_parts(parts, body))
     }
 }
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -17,6 +17,8 @@
 use crate::exchange::Client;
 use crate::exchange::Error;
 use crate::exchange::request;
+use crate::exchange::upload::RequestBody;
+use crate::exchange::upload::Upload;
 use crate::headers;
 use jackdawpin_core::direct::fleet::LoadReport;
 use jackdawpin_core::direct::port;
@@ -50,7 +52,9 @@
 }
 
 impl port::Backend for ServerClient {
-    async fn send(&self, attempt: Attempt<'_>) -> Verdict {
+    type Upload = Upload;
+
+    async fn send(&self, attempt: Attempt<'_, Upload>) -> Verdict {
         let time_left = attempt.deadline.since(BootClock.now());
         if time_left.is_zero() {
             return Verdict::NotSent;
@@ -59,11 +63,13 @@
             log::error!("event=attempt id={} error=\"request cannot be encoded\"", attempt.id);
             return Verdict::NotSent;
         };
-        let has_same_id = |headers: &HeaderMap| {
+        // A connection on which the rest of a body is due cannot carry another request.
+        let is_reusable = |headers: &HeaderMap| {
             header_text(headers, platform_http::REQUEST_ID) == Some(attempt.id)
+                && attempt.upload.is_none_or(Upload::has_ended)
         };
         let address = attempt.address;
-        match self.client.exchange(address, request, time_left, MAX_ANSWER_BYTES, has_same_id).await
+        match self.client.exchange(address, request, time_left, MAX_ANSWER_BYTES, is_reusable).await
         {
             Ok(response) if is_foreign(&attempt, &response) => {
                 Verdict::MayHaveRun("foreign_answer")
@@ -75,6 +81,9 @@
                     attempt.id,
                     attempt.server
                 );
+                if attempt.upload.is_some_and(|upload| upload.error().is_some()) {
+                    return Verdict::MayHaveRun(Verdict::BODY_CUT);
+                }
                 failure_verdict(&err)
             }
         }
@@ -92,7 +101,7 @@
     ) -> Option<ProbeAnswer> {
         let request = Request::get(path)
             .header(http::header::HOST, address.to_string())
-            .body(Full::default())
+            .body(Full::<Bytes>::default())
             .ok()?;
         let exchange =
             self.client.exchange(address, request, timeout, MAX_PROBE_ANSWER_BYTES, |_| true);
@@ -146,8 +155,15 @@
 }
 
 /// The request of an attempt; `None` if it cannot be encoded.
-fn attempt_request(attempt: &Attempt<'_>, time_left: Duration) -> Option<Request<Full<Bytes>>> {
-    let mut request = request::from_content(attempt.content, &REPLACED_FIELDS)?;
+fn attempt_request(
+    attempt: &Attempt<'_, Upload>,
+    time_left: Duration,
+) -> Option<Request<RequestBody>> {
+    let body = match attempt.upload {
+        Some(upload) => upload.stream().into(),
+        None => Full::new(attempt.content.body.clone()).into(),
+    };
+    let mut request = request::from_content(attempt.content, body, &REPLACED_FIELDS)?;
     let headers = request.headers_mut();
     let millis = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
     headers.insert(HeaderName::from_static(platform_http::TIME_LEFT), HeaderValue::from(millis));
@@ -173,7 +189,7 @@
 
 /// Whether the answer belongs to another request. An answer without an id belongs to the attempt
 /// only if it says that the server did not run the request.
-fn is_foreign(attempt: &Attempt<'_>, response: &Response<Bytes>) -> bool {
+fn is_foreign(attempt: &Attempt<'_, Upload>, response: &Response<Bytes>) -> bool {
     match header_text(response.headers(), platform_http::REQUEST_ID) {
         Some(id) => id != attempt.id,
         None => !has_not_run(response),
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -20,10 +20,13 @@
 use super::Dispatcher;
 use super::answer::status;
 use super::request_log::RequestLog;
+use crate::exchange::upload;
+use crate::exchange::upload::Upload;
 use crate::headers;
 use crate::listen::BufferBudget;
 use crate::listen::Context;
 use crate::listen::body;
+use jackdawpin_core::direct::config::Kind;
 use jackdawpin_core::direct::config::Route;
 use jackdawpin_core::direct::dispatch::Call;
 use jackdawpin_core::direct::dispatch::Completion;
@@ -33,6 +36,7 @@
 use jackdawpin_core::outcome::UnknownReason;
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::request::Content;
+use jackdawpin_core::time::Instant;
 use jackdawpin_platform::http as platform_http;
 
 /// Limit on the body of a request before a configuration is in force, in bytes.
@@ -85,6 +89,9 @@
     async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let received = self.dispatcher.clock().now();
         let (parts, mut body) = request.into_parts();
+        if let Some(route) = self.upload_route(&parts) {
+            return self.serve_upload(parts, body, &route, received).await;
+        }
         let limit =
             self.dispatcher.config().map_or(DEFAULT_BODY_BYTES, |config| config.limits.body_bytes);
         // The body is read even for a request that is refused: a connection that is closed with
@@ -105,23 +112,87 @@
             log::warn!("event=request id={id} outcome=refused reason=\"the head is too large\"");
             return status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
         }
-        let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
-        let route = match self.route(host.unwrap_or_default(), parts.uri.path()).await {
+        let route = match self.route(host(&parts), parts.uri.path()).await {
             Ok(route) => route,
             Err(refusal) => {
                 self.request_log.refuse_unrouted(id, refusal);
                 return refusal_response(refusal, Some(UNROUTED_RETRY_AFTER));
             }
         };
-        let caller_timeout = caller_timeout(&parts, id);
         let content = content(&parts, body);
+        completion_response(self.dispatch(&parts, &route, received, &content, None).await)
+    }
+
+    /// The route of a request whose body is passed on as it arrives. `None` for all other requests.
+    fn upload_route(&self, parts: &Parts) -> Option<Arc<Route>> {
+        let route = self.dispatcher.route(host(parts), parts.uri.path()).ok()?;
+        (route.kind == Kind::Upload).then_some(route)
+    }
+
+    /// Serves a request whose body is passed on as it arrives.
+    async fn serve_upload(
+        &self,
+        parts: Parts,
+        body: Incoming,
+        route: &Route,
+        received: Instant,
+    ) -> Response<Full<Bytes>> {
+        let config = self.dispatcher.config();
+        if config.as_ref().is_some_and(|config| head_bytes(&parts) > config.limits.head_bytes) {
+            return self
+                .refuse_upload(&parts, body, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
+                .await;
+        }
+        let limit = config.map_or(DEFAULT_BODY_BYTES, |config| config.limits.body_bytes);
+        let upload = match Upload::new(body, limit) {
+            Ok(upload) => upload,
+            Err((_, body)) => {
+                return self.refuse_upload(&parts, body, StatusCode::PAYLOAD_TOO_LARGE).await;
+            }
+        };
+        let content = content(&parts, Bytes::new());
+        let completion = self.dispatch(&parts, route, received, &content, Some(&upload)).await;
+        // The caller could lose the answer if its connection were closed with unread bytes.
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, upload.discard_rest()).await;
+        match upload.error() {
+            Some(err) if !matches!(completion.outcome, Outcome::Answered(_)) => {
+                upload_error_response(&parts, err)
+            }
+            _ => completion_response(completion),
+        }
+    }
+
+    /// Refuses an upload before any of it is passed on.
+    async fn refuse_upload(
+        &self,
+        parts: &Parts,
+        mut body: Incoming,
+        code: StatusCode,
+    ) -> Response<Full<Bytes>> {
+        let id = header_text(parts, platform_http::REQUEST_ID).unwrap_or_default();
+        log::warn!("event=request id={id} outcome=refused reason=\"{code}\"");
+        discard_rest(&mut body).await;
+        status(code)
+    }
+
+    /// Has the dispatcher serve a request, and logs its end.
+    async fn dispatch(
+        &self,
+        parts: &Parts,
+        route: &Route,
+        received: Instant,
+        content: &Content,
+        upload: Option<&Upload>,
+    ) -> Completion {
+        let id = header_text(parts, platform_http::REQUEST_ID).unwrap_or_default();
+        let caller_timeout = caller_timeout(parts, id);
         let waited = Duration::ZERO;
-        let call = Call { id, route: &route, received, caller_timeout, waited, content: &content };
+        let call = Call { id, route, received, caller_timeout, waited, content, upload };
         let active_request = self.request_log.start(id, &route.name);
         let completion = self.dispatcher.serve(call).await;
         let took = self.dispatcher.clock().now().since(received);
         active_request.end(took, &completion);
-        completion_response(completion)
+        completion
     }
 }
 
@@ -162,6 +233,22 @@
     })
 }
 
+/// Logs that the body of an upload could not be passed on to its end, and returns the response.
+fn upload_error_response(parts: &Parts, err: upload::Error) -> Response<Full<Bytes>> {
+    let id = header_text(parts, platform_http::REQUEST_ID).unwrap_or_default();
+    log::warn!("event=request id={id} outcome=unknown reason=\"{err}\"");
+    status(match err {
+        upload::Error::Large(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        upload::Error::Broken => StatusCode::BAD_REQUEST,
+        upload::Error::Taken => StatusCode::BAD_GATEWAY,
+    })
+}
+
+/// The host that a request names; empty if there is none.
+fn host(parts: &Parts) -> &str {
+    headers::text(&parts.headers, &http::header::HOST).unwrap_or_default()
+}
+
 /// The value of the header field `name`, if it is there and is text.
 fn header_text<'a>(parts: &'a Parts, name: &'static str) -> Option<&'a str> {
     headers::text(&parts.headers, &HeaderName::from_static(name))
--- a/crates/daemon/src/gateway/store_replica.rs
+++ b/crates/daemon/src/gateway/store_replica.rs
@@ -150,7 +150,14 @@
             }
             Record::Config(config) => {
                 let version = config.version;
+                let unknown_kinds = config.unknown_kinds.join(",");
                 let accepted = self.dispatcher.set_config(config);
+                if accepted && !unknown_kinds.is_empty() {
+                    log::warn!(
+                        "event=config version={version:08x} unknown_kinds={unknown_kinds} \
+                         handled_as=at_most_once"
+                    );
+                }
                 log::info!(
                     "event=config version={version:08x} revision={revision} accepted={accepted}"
                 );
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -100,7 +100,9 @@
     attempt: &Attempt<'_>,
     remaining: Duration,
 ) -> Option<Request<Full<Bytes>>> {
-    let mut request = request::from_content(&attempt.request.content, &headers::RESERVED_FIELDS)?;
+    let content = &attempt.request.content;
+    let body = Full::new(content.body.clone());
+    let mut request = request::from_content(content, body, &headers::RESERVED_FIELDS)?;
     let fields = request.headers_mut();
     fields.insert(http::header::HOST, HeaderValue::from_str(&address.to_string()).ok()?);
     let id = HeaderValue::from_str(attempt.request.id.as_str()).ok()?;
