Keep connections to a bounded set of preferred servers

Change: two of three rounds of probes ask only the servers that an entry prefers by rank, up to 24 of a service in its own domain. All entries together prefer all servers about equally. The last round asks all, as before.

--- a/crates/core/src/direct/dispatch/select.rs
+++ b/crates/core/src/direct/dispatch/select.rs
@@ -1,4 +1,5 @@
-//! Selects a server: probes a few, those of the own failure domain first, and chooses the best.
+//! Selects a server: probes a few, those of the entry's own failure domain first, and chooses the
+//! best.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,8 +29,8 @@
 use crate::port::Random;
 use crate::time::Instant;
 
-/// Rounds of probes for one attempt. Each round probes other servers; the first one only servers of
-/// the own failure domain.
+/// Rounds of probes for one attempt. Each round probes other servers; all but the last one only
+/// preferred servers of the entry's own failure domain.
 const MAX_ROUNDS: usize = 3;
 
 /// Timeout of a probe. It covers a round trip, the few milliseconds that a server takes, and an
@@ -112,7 +113,7 @@
         let mut considered: ServerNames = ServerNames::new();
         let mut choice = Choice::NoServer;
         for round in 0..MAX_ROUNDS {
-            let scope = if round == 0 { Scope::SameDomain } else { Scope::All };
+            let scope = if round + 1 < MAX_ROUNDS { Scope::Preferred } else { Scope::All };
             let probed = self.probe_round(service, scope, &considered, tried).await;
             let last = round + 1 == MAX_ROUNDS;
             if probed.is_empty() && !last {
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -43,6 +43,11 @@
 /// renewed them about 2 s after its return.
 pub const EXPIRY_GRACE_AFTER_OUTAGE: Duration = Duration::from_millis(2_200);
 
+/// Servers of a service in its own failure domain that an entry probes first. It keeps connections
+/// to them, whatever the number of servers; all entries of the domain together use all servers. With
+/// fewer, the random choice of a few of them would often find none with room.
+const PREFERRED_SERVERS: usize = 24;
+
 /// Servers of a service in other failure domains that one entry probes. All entries of a domain
 /// together probe several times as many.
 const MAX_OTHER_DOMAIN_SERVERS: usize = 16;
@@ -67,8 +72,8 @@
 /// Which servers may be candidates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
-    /// Servers of the entry's own failure domain.
-    SameDomain,
+    /// The preferred servers of the entry's own failure domain.
+    Preferred,
     /// Servers of all failure domains.
     All,
 }
@@ -175,7 +180,10 @@
         let pool = table.pools.entry(server.service.clone()).or_default();
         match pool.server(server.name.as_str()) {
             Some(state) => state.update(server, now),
-            None => pool.servers.push(ServerState::new(server, now)),
+            None => {
+                let score = rendezvous::score(server.name.as_str(), self.ip);
+                pool.servers.push(ServerState::new(server, score, now));
+            }
         }
     }
 
@@ -243,8 +251,9 @@
                 && !excluded.contains(&state.server.name)
         };
         let mut found: SmallVec<[&ServerState; 32]> = pool.servers.iter().filter(wanted).collect();
-        if scope == Scope::All {
-            self.limit_other_domains(&mut found, count);
+        match scope {
+            Scope::Preferred => keep_preferred(&mut found, PREFERRED_SERVERS),
+            Scope::All => self.limit_other_domains(&mut found, count),
         }
         let mut chosen = SmallVec::new();
         while chosen.len() < count && !found.is_empty() {
@@ -264,14 +273,9 @@
     /// of all of them would open many connections, of which servers accept a limited number.
     fn limit_other_domains(&self, found: &mut SmallVec<[&ServerState; 32]>, count: usize) {
         let same_domain = |state: &&ServerState| state.server.domain == self.domain;
-        let mut others: Vec<&ServerState> =
+        let mut others: SmallVec<[&ServerState; 32]> =
             found.iter().copied().filter(|state| !same_domain(state)).collect();
-        let limit = MAX_OTHER_DOMAIN_SERVERS.max(count);
-        if others.len() <= limit {
-            return;
-        }
-        others.sort_by_key(|state| Reverse(rendezvous::score(state.server.name.as_str(), self.ip)));
-        others.truncate(limit);
+        keep_preferred(&mut others, MAX_OTHER_DOMAIN_SERVERS.max(count));
         found.retain(|state| same_domain(state));
         found.extend(others);
     }
@@ -352,6 +356,14 @@
     }
 }
 
+/// Keeps the `limit` servers with the highest scores.
+fn keep_preferred(servers: &mut SmallVec<[&ServerState; 32]>, limit: usize) {
+    if servers.len() > limit {
+        servers.select_nth_unstable_by_key(limit, |state| Reverse(state.score));
+        servers.truncate(limit);
+    }
+}
+
 /// Requests per second that one owner may send to a cold server that can take `rate` per second.
 pub fn cold_allowance(rate: f64) -> usize {
     cold::allowance(rate, cold::OWNER_COUNT)
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -106,6 +106,9 @@
 #[derive(Debug)]
 pub(super) struct ServerState {
     pub(super) server: Server,
+    /// Rendezvous score of the server for this entry. Each entry prefers the servers with the
+    /// highest scores, so all servers are preferred by about as many entries.
+    pub(super) score: u64,
     pub(super) listing: Listing,
     /// The last load report.
     report: Option<ReceivedReport>,
@@ -124,9 +127,10 @@
 }
 
 impl ServerState {
-    pub(super) fn new(server: Server, now: Instant) -> Self {
+    pub(super) fn new(server: Server, score: u64, now: Instant) -> Self {
         Self {
             server,
+            score,
             listing: Listing::Listed,
             report: None,
             healthy: true,
@@ -144,7 +148,7 @@
     /// observations of the server no longer hold and are discarded.
     pub(super) fn update(&mut self, server: Server, now: Instant) {
         if server.started_ms != self.server.started_ms || server.address != self.server.address {
-            *self = Self::new(server, now);
+            *self = Self::new(server, self.score, now);
             return;
         }
         self.server = server;
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -344,3 +344,37 @@
     let others = candidates(&ServerNames::new());
     assert_eq!(others.len(), 4, "others take their place: {others:?}");
 }
+
+/// Guards against an entry that opens connections to all servers of a large failure domain, against
+/// servers that no entry prefers, and against an entry without servers once its preferred ones are
+/// gone. 40 entries and 200 servers in one domain.
+#[test]
+fn preferred_servers() {
+    let servers: Vec<Server> = (1..=200).map(|number| server(number, "a")).collect();
+    let random = SeededRandom::new(1);
+    let mut preferred_by = std::collections::BTreeMap::<String, u32>::new();
+    for entry in 1..=40 {
+        let fleet = Fleet::new(domain("a"), member(entry, "a").ip);
+        for server in &servers {
+            fleet.update(server.clone(), at(0));
+        }
+        let draw = || {
+            let excluded = ServerNames::new();
+            fleet.candidates(SERVICE, Scope::Preferred, &excluded, 4, at(10), &random)
+        };
+        let names = |draws: usize| -> std::collections::BTreeSet<String> {
+            let candidates = (0..draws).flat_map(|_| draw());
+            candidates.map(|candidate| candidate.server.as_str().to_owned()).collect()
+        };
+        let preferred = names(300);
+        assert!(preferred.len() <= 30, "{} servers", preferred.len());
+        for name in &preferred {
+            *preferred_by.entry(name.clone()).or_default() += 1;
+            fleet.unlist(name, Duration::ZERO, at(5));
+        }
+        assert!(names(300).len() >= 12, "others must take their place");
+    }
+    assert!(preferred_by.len() >= 190, "only {} servers are preferred", preferred_by.len());
+    let most = preferred_by.values().max().unwrap();
+    assert!(*most <= 15, "a server is preferred by {most} of 40 entries");
+}
