Send updates of the store down trees within each failure domain

The store reader sent each update to all 45 entries of its failure domain and two relays of each other one, every 150 ms and twice, and all of them fetched the list from it. Its link (10 Mbit/s) was full, freshness proofs were lost, and 85 and 110 entries read the store themselves.

Change: an update goes to six entries of a failure domain, or one of another, each with the addresses of those that it passes it on to, down two trees in a new random order each time. A notice of changes that do not fit in datagrams is passed on only by an entry that has fetched them. The test of relays is replaced by tests of the same promises (not through one entry, few messages between failure domains, nothing passed on by entries that leave) and of the number of messages that one entry sends, of lost messages and of failed entries.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -5,7 +5,8 @@
 //! time, so an entry probes several servers at once and sends the request to the best ([`fleet`],
 //! [`dispatch`]).
 //!
-//! What other entries send at the same moment is estimated ([`contention`]).
+//! What other entries send at the same moment is estimated ([`contention`]). Changes of the
+//! platform's store reach all entries down trees ([`spread`]).
 //!
 //! Entries share five limits without coordination, each by its share of the live entries: the rate
 //! of cold servers ([`cold`]), the retry budget of a service ([`retries`]), the connections of a
@@ -28,3 +29,4 @@
 pub mod rendezvous;
 pub mod replica;
 pub mod retries;
+pub mod spread;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -12,6 +12,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use crate::direct::spread::Group;
 use crate::lock::Mutex;
 use crate::lock::Rank;
 use crate::name;
@@ -54,10 +55,6 @@
 /// the reply to its first heartbeat was lost.
 const FEW_MEMBERS: usize = 3;
 
-/// Number of relays in each failure domain. Each update gets there twice, so that one lost datagram
-/// or failed relay makes no difference.
-const RELAYS_PER_DOMAIN: usize = 2;
-
 /// Number of heartbeats of which one is also sent to a seed or a silent peer, by entries that send
 /// to another failure domain at that time.
 const CONTACT_SILENT_EVERY: u64 = 4;
@@ -286,31 +283,23 @@
             .map(|peer| peer.member.ip)
     }
 
-    /// The live peers of the own failure domain.
-    pub fn same_domain(&self, now: Instant) -> Vec<Ipv4Addr> {
+    /// The live peers by failure domain.
+    pub fn groups(&self, now: Instant) -> Vec<Group> {
         let table = self.table.lock();
-        table.same_domain(now).map(|peer| peer.member.ip).collect()
-    }
-
-    /// The relays: the first live peers for `key` of each other failure domain, which pass updates
-    /// on to the others there. Bytes between failure domains cost, and the sender's link may be
-    /// small.
-    pub fn relays(&self, key: &str, now: Instant) -> Vec<Ipv4Addr> {
-        let table = self.table.lock();
-        let mut others: Vec<&Member> = table
-            .live(now)
-            .map(|peer| &peer.member)
-            .filter(|member| member.domain != table.own.domain && !member.leaving)
-            .collect();
-        others.sort_by_key(|member| std::cmp::Reverse(super::rendezvous::score(key, member.ip)));
-        let mut relays: Vec<&Member> = Vec::new();
-        for member in others {
-            let selected = relays.iter().filter(|relay| relay.domain == member.domain).count();
-            if selected < RELAYS_PER_DOMAIN {
-                relays.push(member);
-            }
+        let mut domains: Vec<(&name::Domain, Group)> = Vec::new();
+        for member in table.live(now).map(|peer| &peer.member) {
+            let index = domains.iter().position(|(domain, _)| **domain == member.domain);
+            let index = index.unwrap_or_else(|| {
+                let same_domain = member.domain == table.own.domain;
+                let group = Group { same_domain, staying: Vec::new(), leaving: Vec::new() };
+                domains.push((&member.domain, group));
+                domains.len() - 1
+            });
+            let group = &mut domains[index].1;
+            let list = if member.leaving { &mut group.leaving } else { &mut group.staying };
+            list.push(member.ip);
         }
-        relays.into_iter().map(|member| member.ip).collect()
+        domains.into_iter().map(|(_, group)| group).collect()
     }
 
     /// The live entries that callers in `domain` may use, without those that are leaving: the
--- a/crates/core/tests/direct_peers.rs
+++ b/crates/core/tests/direct_peers.rs
@@ -265,21 +265,6 @@
     assert!(!entry.entries_for_callers("a", 9, at(1_020)).contains(&ip(2)));
 }
 
-/// Guards against a failure domain that gets updates through a single entry, or once for each of
-/// its entries.
-#[test]
-fn relays() {
-    let entry = Peers::new(member(1, "a"), Vec::new());
-    for (number, domain) in [(2, "a"), (3, "b"), (4, "b"), (5, "b"), (6, "c")] {
-        entry.receive(ip(number), [member(number, domain)], at(1_000));
-    }
-    entry.receive(ip(7), [Member { leaving: true, ..member(7, "c") }], at(1_000));
-    assert_eq!(entry.same_domain(at(1_100)), [ip(2)]);
-    let relays = entry.relays("key", at(1_100));
-    assert_eq!(relays.len(), 3, "{relays:?}");
-    assert!(relays.contains(&ip(6)) && !relays.contains(&ip(7)));
-}
-
 /// Guards against cold servers that get no requests because their owners are in other failure
 /// domains and hardly ever probe them. On large sites, 30 to 50% of the servers that joined got no
 /// request.
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -20,7 +20,8 @@
 use jackdawpin_core::direct::peers::HEARTBEAT_INTERVAL;
 use jackdawpin_core::direct::peers::MemberOrder;
 use jackdawpin_core::direct::replica;
-use jackdawpin_core::direct::replica::READER_KEY;
+use jackdawpin_core::direct::spread;
+use jackdawpin_core::direct::spread::Branch;
 use jackdawpin_core::lock::Mutex;
 use jackdawpin_core::lock::Rank;
 use jackdawpin_core::port::Clock;
@@ -44,7 +45,7 @@
 /// Timeout for fetching all items from a peer, which fills a slow link for a while.
 const FETCH_ALL_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Delay before changes are fetched from an entry that may have to fetch them itself first.
+/// Delay before missing changes are fetched from an entry that may lack them itself.
 const FETCH_DELAY: Duration = Duration::from_millis(120);
 
 /// Longest random addition to [`FETCH_DELAY`], so that not all entries fetch at once.
@@ -54,8 +55,9 @@
 /// the last one.
 const MAX_UPDATE_DATAGRAMS: usize = 6;
 
-/// Limit on the bytes of items in one datagram; the rest of it is for the framing.
-const MAX_ITEM_BYTES: usize = 1_250;
+/// Limit on the bytes of items in one datagram; the rest of it is for the framing and for
+/// [`spread::MAX_TARGETS`] addresses of five bytes.
+const MAX_ITEM_BYTES: usize = 1_050;
 
 /// Ports that are the same on all VMs.
 #[derive(Debug, Clone, Copy)]
@@ -81,6 +83,16 @@
     sent_revisions: Mutex<[u64; 2]>,
     /// Whether changes are being fetched.
     fetching: AtomicBool,
+    /// Notices to be sent on once the changes that they announce are here.
+    pending: Mutex<Vec<PendingNotice>>,
+}
+
+/// A notice of changes that this entry lacks, and the entries that it is to be sent on to.
+#[derive(Debug)]
+struct PendingNotice {
+    ahead: wire::RevisionNotice,
+    received: Instant,
+    targets: Vec<Ipv4Addr>,
 }
 
 impl Gossip {
@@ -103,6 +115,7 @@
             own_ip,
             sent_revisions: Mutex::new(Rank::Connections, [0; 2]),
             fetching: AtomicBool::new(false),
+            pending: Mutex::new(Rank::Connections, Vec::new()),
         })
     }
 
@@ -136,8 +149,7 @@
         }
     }
 
-    /// Sends the latest changes to all live entries, to those of other failure domains through a
-    /// few relays there.
+    /// Sends the latest changes to all live entries.
     pub(super) async fn send_update(&self, replica: &StoreReplica) {
         let now = self.now();
         let revision = replica.revision();
@@ -164,11 +176,41 @@
             // Peers that lack the changes fetch them.
             updates.push(wire::StoreUpdate::Ahead(ahead));
         }
-        let (same_domain, relays) =
-            (self.dispatcher.peers.same_domain(now), self.dispatcher.peers.relays(READER_KEY, now));
-        for update in updates {
-            self.send_all(&wire::Datagram::Relay(update.clone()), &relays).await;
-            self.send_all(&wire::Datagram::News(update), &same_domain).await;
+        for update in &updates {
+            self.spread(update, now).await;
+        }
+    }
+
+    /// Sends an update to all live entries, down two trees in each failure domain.
+    async fn spread(&self, update: &wire::StoreUpdate, now: Instant) {
+        let groups = self.dispatcher.peers.groups(now);
+        for _ in 0..spread::TREE_COUNT {
+            for group in &groups {
+                let entries = group.shuffled(self.dispatcher.random());
+                if group.same_domain {
+                    self.send_branches(update, spread::branches(&entries)).await;
+                } else {
+                    self.send_branches(update, spread::remote_branches(&entries)).await;
+                }
+            }
+        }
+    }
+
+    /// Sends an update to the first entry of each branch, which sends it on to the others.
+    async fn send_branches(
+        &self,
+        update: &wire::StoreUpdate,
+        branches: impl Iterator<Item = Branch<'_>>,
+    ) {
+        for branch in branches {
+            let update = update.clone();
+            let message = if branch.rest.is_empty() {
+                wire::Datagram::News(update)
+            } else {
+                let targets = branch.rest.iter().map(|ip| ip.to_bits()).collect();
+                wire::Datagram::Relay(wire::RelayedUpdate { update, targets })
+            };
+            self.send(&message, branch.first).await;
         }
     }
 
@@ -235,40 +277,51 @@
                 }
             }
             wire::Datagram::News(update) => {
-                let max_jitter = u64::try_from(FETCH_JITTER.as_micros()).unwrap_or(0);
-                let jitter = Duration::from_micros(self.dispatcher.random().below(max_jitter));
-                self.merge_update(update, from, FETCH_DELAY + jitter, replica);
+                self.merge_update(&update, from, &[], replica).await;
             }
-            wire::Datagram::Relay(update) => {
-                let same_domain = self.dispatcher.peers.same_domain(now);
-                self.send_all(&wire::Datagram::News(update.clone()), &same_domain).await;
-                self.merge_update(update, from, Duration::ZERO, replica);
+            wire::Datagram::Relay(relayed) => {
+                let targets: Vec<Ipv4Addr> =
+                    relayed.targets.into_iter().map(Ipv4Addr::from_bits).collect();
+                self.merge_update(&relayed.update, from, &targets, replica).await;
             }
         }
     }
 
-    /// Merges an update. If changes are missing here, they are fetched from the sender after
-    /// `delay`.
-    fn merge_update(
+    /// Merges an update and sends it on to `targets`. A notice without changes is sent on only once
+    /// the changes are here, because the receivers fetch them from this entry.
+    async fn merge_update(
         self: &Arc<Self>,
-        update: wire::StoreUpdate,
+        update: &wire::StoreUpdate,
         from: Ipv4Addr,
-        delay: Duration,
+        targets: &[Ipv4Addr],
         replica: &Arc<StoreReplica>,
     ) {
         let now = self.now();
-        let complete = match update {
-            wire::StoreUpdate::Delta(delta) => replica.merge(convert::delta_from_wire(delta), now),
+        match update {
+            wire::StoreUpdate::Delta(delta) => {
+                self.send_branches(update, spread::branches(targets)).await;
+                if !replica.merge(convert::delta_from_wire(delta.clone()), now) {
+                    // The sender may lack the earlier changes as well and be fetching them.
+                    let max_jitter = u64::try_from(FETCH_JITTER.as_micros()).unwrap_or(0);
+                    let jitter = Duration::from_micros(self.dispatcher.random().below(max_jitter));
+                    self.spawn_fetch(from, FETCH_DELAY + jitter, replica);
+                }
+            }
             wire::StoreUpdate::Ahead(ahead) => {
-                replica.confirm(ahead.to, Duration::from_millis(ahead.age_ms), now)
+                if replica.confirm(ahead.to, Duration::from_millis(ahead.age_ms), now) {
+                    self.send_branches(update, spread::branches(targets)).await;
+                    return;
+                }
+                let notice =
+                    PendingNotice { ahead: *ahead, received: now, targets: targets.into() };
+                self.pending.lock().push(notice);
+                self.spawn_fetch(from, Duration::ZERO, replica);
             }
-        };
-        if !complete {
-            self.spawn_fetch(from, delay, replica);
         }
     }
 
-    /// Starts to fetch missing changes from `peer` after `delay`, unless a fetch is under way.
+    /// Starts to fetch missing changes from `peer` after `delay`, unless a fetch is under way. Then
+    /// sends on the notices that arrived meanwhile.
     fn spawn_fetch(self: &Arc<Self>, peer: Ipv4Addr, delay: Duration, replica: &Arc<StoreReplica>) {
         if self.fetching.swap(true, Ordering::AcqRel) {
             return;
@@ -278,9 +331,22 @@
             tokio::time::sleep(delay).await;
             gossip.fetch_missing(peer, &replica).await;
             gossip.fetching.store(false, Ordering::Release);
+            gossip.send_pending(replica.revision()).await;
         });
     }
 
+    /// Sends on the notices of changes up to `revision`, which are here now. Later ones are dropped:
+    /// the next update announces them again.
+    async fn send_pending(&self, revision: u64) {
+        let pending = std::mem::take(&mut *self.pending.lock());
+        for notice in pending.into_iter().filter(|notice| notice.ahead.to <= revision) {
+            let waited = convert::saturating_millis(self.now().since(notice.received));
+            let age_ms = notice.ahead.age_ms.saturating_add(waited);
+            let update = wire::StoreUpdate::Ahead(wire::RevisionNotice { age_ms, ..notice.ahead });
+            self.send_branches(&update, spread::branches(&notice.targets)).await;
+        }
+    }
+
     /// Fetches all items from a peer, so that an entry that starts among others need not read them
     /// from the store. Has no effect if no peer answers in time, or if its items may be out of
     /// date.
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -69,6 +69,15 @@
     Ahead(RevisionNotice),
 }
 
+/// An update that the receiver sends on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedUpdate {
+    /// The update.
+    pub update: StoreUpdate,
+    /// IPv4 addresses of the entries that the receiver sends it on to, in some order.
+    pub targets: Vec<u32>,
+}
+
 /// A message between entries, sent as a UDP datagram and not repeated when it is lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -76,7 +85,6 @@
     Beat(GossipHeartbeat),
     /// An update for the receiver.
     News(StoreUpdate),
-    /// An update for the receiver and for all entries of its failure domain, to which the receiver
-    /// sends it on.
-    Relay(StoreUpdate),
+    /// An update for the receiver and for further entries.
+    Relay(RelayedUpdate),
 }
