Send no body again that another connection has begun, and count requests under way

A server that refuses an upload before it has read any of it lets the entry try another one; the first connection was closed later and could read a frame of the body in between, and the second server got the rest as if it were the whole.

Change: a body goes to an exchange only if nothing of it was passed on; a connection that is not used again is closed at once with its exchange.

The report did not count a request that was sent while it was under way. Now the requests since the probe was sent count, and at least all in flight from here.

--- a/crates/core/src/direct/fleet/choice.rs
+++ b/crates/core/src/direct/fleet/choice.rs
@@ -151,6 +151,7 @@
     fn observations(&self, state: &ServerState, now: Instant) -> Observations {
         Observations {
             unreported: state.unreported(),
+            possibly_unreported: state.possibly_unreported(),
             slots: state.server.slots,
             in_flight: u32::try_from(state.in_flight.len()).unwrap_or(u32::MAX),
             failure_rate: state.failure_rate(now),
--- a/crates/core/src/direct/fleet/score.rs
+++ b/crates/core/src/direct/fleet/score.rs
@@ -50,6 +50,8 @@
 pub(super) struct Observations {
     /// Requests that this entry sent since the report, which does not count them.
     pub(super) unreported: u32,
+    /// Requests that this entry sent since it asked for the report, which may not count them.
+    pub(super) possibly_unreported: u32,
     /// Requests that the server works on at the same time, as the platform lists it.
     pub(super) slots: u32,
     /// Requests in flight from this entry.
@@ -67,6 +69,7 @@
     pub(super) fn after(&self, further: u32) -> Self {
         Self {
             unreported: self.unreported.saturating_add(further),
+            possibly_unreported: self.possibly_unreported.saturating_add(further),
             in_flight: self.in_flight.saturating_add(further),
             ..*self
         }
@@ -83,12 +86,15 @@
     (f64::from(busy) + 1.0) / f64::from(load.slots.max(1))
 }
 
-/// Whether the queue of a server has room for one more request. Without a load report, its length
-/// is not known and is not limited here.
+/// Whether the queue of a server has room for one more request, even if its report does not count
+/// requests that were on their way. Without a load report, its length is not known and is not
+/// limited here.
 pub(super) fn fits_queue(report: &LoadReport, observations: &Observations, queue: &Queue) -> bool {
     report.load.is_none_or(|load| {
         let busy = load.running.saturating_add(load.waiting);
-        let busy = busy.saturating_add(observations.unreported);
+        let busy = busy.saturating_add(observations.possibly_unreported);
+        // A request that takes long to get there is in flight from here, but in no report.
+        let busy = busy.max(observations.in_flight);
         busy < load.slots.saturating_add(queue.limit(load.slots))
     })
 }
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -200,11 +200,23 @@
         self.backoff_until = now + backoff.min(MAX_BACKOFF);
     }
 
-    /// Attempts sent since the last load report, which does not count them.
+    /// Attempts sent since the last load report was requested, which may not count them.
+    pub(super) fn possibly_unreported(&self) -> u32 {
+        let requested_at = self.report.as_ref().map_or(Instant::default(), |received| {
+            received.received_at.before(received.round_trip)
+        });
+        self.sent_since(requested_at)
+    }
+
+    /// Attempts sent since the last load report arrived, which does not count them.
     pub(super) fn unreported(&self) -> u32 {
         let reported_at =
             self.report.as_ref().map_or(Instant::default(), |received| received.received_at);
-        let later = self.in_flight.iter().filter(|attempt| attempt.sent_at >= reported_at).count();
+        self.sent_since(reported_at)
+    }
+
+    fn sent_since(&self, at: Instant) -> u32 {
+        let later = self.in_flight.iter().filter(|attempt| attempt.sent_at >= at).count();
         u32::try_from(later).unwrap_or(u32::MAX)
     }
 
--- a/crates/core/tests/direct_overload.rs
+++ b/crates/core/tests/direct_overload.rs
@@ -138,6 +138,29 @@
     assert!(accepts(1, at(700)));
 }
 
+/// Guards against requests to a full server while its load report is under way: a request that was
+/// sent after the probe may arrive after the report was made, which then does not count it. On a busy
+/// machine, requests hung at servers that an entry had filled by itself.
+#[rstest]
+#[case::sent_during_the_probe(45, false)]
+#[case::sent_before_the_probe(1_000, true)]
+fn requests_during_a_probe(#[case] since_probe: u64, #[case] accepted: bool) {
+    let random = SeededRandom::new(1);
+    let patient = Criteria { accept_within: ms(60_000), ..criteria(at(0), 0.0) };
+    let fleet = fleet();
+    let full = Load { running: 3, waiting: 0, slots: 3, slowdown: 100 };
+    let sent_at = at(5_000).before(ms(since_probe));
+    report(&fleet, full, sent_at);
+    let sent = choose(&fleet, &patient, sent_at, &random);
+    assert!(matches!(sent, Choice::Pick(_)), "one request may wait: {sent:?}");
+    // The probe was sent 50 ms ago.
+    let load = LoadReport { load: Some(full), cold_for: Duration::ZERO };
+    let probe = ProbeAnswer { server: Some(vm("s1")), healthy: true, report: load };
+    fleet.record_probe(SERVICE, "s1", Some(&probe), at(5_000).before(ms(50)), at(5_000));
+    let choice = choose(&fleet, &patient, at(5_001), &random);
+    assert_eq!(matches!(choice, Choice::Pick(_)), accepted, "{choice:?}");
+}
+
 /// Guards against a fixed assumption of the share of the slots from which servers slow down.
 #[rstest]
 #[case::does_not_slow_down(100, 100)]
--- a/crates/daemon/src/exchange/idle.rs
+++ b/crates/daemon/src/exchange/idle.rs
@@ -6,8 +6,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
 use super::upload::RequestBody;
 use jackdawpin_core::lock::Mutex;
@@ -25,8 +31,37 @@
 /// that have no reusable connection.
 const SWEEP_THRESHOLD: usize = 1_024;
 
-/// Sends requests on one connection.
-pub(super) type Sender = SendRequest<RequestBody>;
+/// Sends requests on one connection. Dropping it closes the connection, whatever is under way on it.
+#[derive(Debug)]
+pub(super) struct Sender {
+    requests: SendRequest<RequestBody>,
+    _connection: AbortOnDropHandle<()>,
+}
+
+impl Sender {
+    /// A sender for the connection that the task `connection` drives.
+    pub(super) fn new(requests: SendRequest<RequestBody>, connection: JoinHandle<()>) -> Self {
+        Self { requests, _connection: AbortOnDropHandle::new(connection) }
+    }
+
+    /// Waits until the connection takes a request; false if it is closed.
+    pub(super) async fn is_ready(&mut self) -> bool {
+        self.requests.ready().await.is_ok()
+    }
+
+    /// Sends a request and returns the head of its answer. A failure has the request if none of it
+    /// was sent.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
+        self.requests.try_send_request(request).await
+    }
+
+    fn is_closed(&self) -> bool {
+        self.requests.is_closed()
+    }
+}
 
 #[derive(Debug)]
 struct IdleConnection {
--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -124,7 +124,7 @@
         loop {
             let (mut sender, reused) = self.connection(address).await?;
             *send_state = SendState::MaybeSent;
-            match sender.try_send_request(request).await {
+            match sender.send(request).await {
                 Ok(response) => {
                     let response = self.receive(response, max_body_bytes).await?;
                     if is_reusable(response.headers()) {
@@ -151,7 +151,7 @@
     /// before.
     async fn connection(&self, address: SocketAddr) -> Result<(Sender, bool), Error> {
         while let Some(mut sender) = self.idle.pop(address) {
-            if sender.ready().await.is_ok() {
+            if sender.is_ready().await {
                 return Ok((sender, true));
             }
         }
@@ -183,15 +183,15 @@
     };
     let nodelay = stream.set_nodelay(true);
     nodelay.map_err(|err| Error::NotSent(err.to_string()))?;
-    let (sender, connection) = http1::Builder::new()
+    let (requests, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(CountingStream::new(stream, traffic)))
         .await
         .map_err(|err| Error::NotSent(err.to_string()))?;
-    tokio::spawn(async move {
+    let connection = tokio::spawn(async move {
         if let Err(err) = connection.await {
             log::debug!("connection to {address} ended: {err}");
         }
     });
-    Ok(sender)
+    Ok(Sender::new(requests, connection))
 }
--- a/crates/daemon/src/exchange/upload.rs
+++ b/crates/daemon/src/exchange/upload.rs
@@ -36,9 +36,9 @@
         Broken {
             display("the caller's connection broke before the end of the body")
         }
-        /// Another exchange has the body.
+        /// Another exchange has the body, or has read a part of it.
         Taken {
-            display("the body is in use by another exchange")
+            display("the body was passed on by another exchange")
         }
     }
 }
@@ -68,6 +68,14 @@
     error: Option<Error>,
 }
 
+impl State {
+    /// The caller's body, if no exchange has it and nothing of it was passed on. What an earlier
+    /// exchange has read is gone, and the rest alone would look like a whole body.
+    fn take_untouched(&mut self) -> Option<Incoming> {
+        if self.begun { None } else { self.body.take() }
+    }
+}
+
 impl Upload {
     /// Passes `body` on, of at most `limit` bytes.
     ///
@@ -176,7 +184,7 @@
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<FrameResult>> {
         let stream = self.get_mut();
         if stream.body.is_none() {
-            stream.body = stream.shared.state.lock().body.take();
+            stream.body = stream.shared.state.lock().take_untouched();
         }
         let Some(body) = &mut stream.body else {
             return Poll::Ready(Some(Err(Error::Taken)));
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -48,6 +48,9 @@
 /// Time for which the rest of a body is read and discarded after its read has failed.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which the answer to an upload waits for the rest of its body.
+const UPLOAD_REST_TIME: Duration = Duration::from_millis(100);
+
 /// Time for which a request waits for the first configuration. A restarted process has it within
 /// tens of milliseconds, which is sooner than a refused caller would retry.
 const CONFIG_TIMEOUT: Duration = Duration::from_millis(150);
@@ -152,14 +155,14 @@
         };
         let content = content(&parts, Bytes::new());
         let completion = self.dispatch(&parts, route, received, &content, Some(&upload)).await;
-        // The caller could lose the answer if its connection were closed with unread bytes.
-        let _ = tokio::time::timeout(DISCARD_TIMEOUT, upload.discard_rest()).await;
-        match upload.error() {
+        let response = match upload.error() {
             Some(err) if !matches!(completion.outcome, Outcome::Answered(_)) => {
                 upload_error_response(&parts, err)
             }
             _ => completion_response(completion),
-        }
+        };
+        discard_upload(upload).await;
+        response
     }
 
     /// Refuses an upload before any of it is passed on.
@@ -221,6 +224,20 @@
     let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
 }
 
+/// Reads and discards the rest of an upload: the caller could lose the answer if its connection were
+/// closed with unread bytes. Most of the rest is under way, so this waits a short time for it; what a
+/// slow caller still sends is discarded while the answer goes out.
+async fn discard_upload(upload: Upload) {
+    if upload.has_ended() {
+        return;
+    }
+    let discarding = tokio::spawn(async move {
+        // A caller that sends for longer loses the answer.
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, upload.discard_rest()).await;
+    });
+    let _ = tokio::time::timeout(UPLOAD_REST_TIME, discarding).await;
+}
+
 /// Logs that the body of a request could not be read, and returns the response.
 fn body_error_response(parts: &Parts, err: &body::Error) -> Response<Full<Bytes>> {
     let id = header_text(parts, platform_http::REQUEST_ID).unwrap_or_default();
