Start with a peer's items while the store does not answer

While the store was unavailable to all, entries were restarted in turn; each refused all requests until the store was back (up to 2.2 s), because its peers' freshness proofs were as old as the outage and their items were not taken.

Change: an entry without items takes those of a random live peer, whatever their age, once the store has failed or has not answered for 0.5 s, and goes on asking the store.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -273,14 +273,17 @@
         self.table.lock().rank(now, |member| (member.domain.as_str() == domain, score(member)))
     }
 
-    /// A live peer whose heartbeat came from itself, if possible one of the own failure domain. An
-    /// entry that has just started may still receive, from others, members that have ended.
-    pub fn contacted_peer(&self, now: Instant) -> Option<Ipv4Addr> {
+    /// A random live peer whose heartbeat came from itself, if possible one of the own failure
+    /// domain. An entry that has just started may still receive, from others, members that have
+    /// ended.
+    pub fn contacted_peer(&self, now: Instant, random: &impl Random) -> Option<Ipv4Addr> {
         let table = self.table.lock();
-        let same_domain = table.same_domain(now).find(|peer| peer.contacted);
-        same_domain
-            .or_else(|| table.live(now).find(|peer| peer.contacted))
-            .map(|peer| peer.member.ip)
+        let contacted = table.live(now).filter(|peer| peer.contacted);
+        let (same_domain, others): (Vec<&Peer>, Vec<&Peer>) =
+            contacted.partition(|peer| peer.member.domain == table.own.domain);
+        let candidates = if same_domain.is_empty() { others } else { same_domain };
+        let index = random_index(random, candidates.len());
+        candidates.get(index).map(|peer| peer.member.ip)
     }
 
     /// The live peers by failure domain.
--- a/crates/core/src/direct/replica.rs
+++ b/crates/core/src/direct/replica.rs
@@ -78,10 +78,12 @@
     })
 }
 
-/// Whether an entry may start with a replica whose last proof has the age `proof_age`. Without a
-/// later proof it reads the store as soon as any other entry does.
-pub fn is_recent(proof_age: Duration) -> bool {
-    proof_age <= MAX_PROOF_AGE
+/// Whether an entry may start with a peer's replica whose last proof has the age `proof_age`.
+/// Without a later proof it reads the store as soon as any other entry does. While the store is
+/// unavailable, no entry has a recent proof: then the entry starts with what its peers use, since it
+/// would otherwise refuse all requests until the store is back.
+pub fn may_start_with(proof_age: Duration, store_failed: bool) -> bool {
+    store_failed || proof_age <= MAX_PROOF_AGE
 }
 
 /// Pause, before any jitter, after a call that the store did not answer and that followed
--- a/crates/core/tests/direct_peers.rs
+++ b/crates/core/tests/direct_peers.rs
@@ -299,13 +299,17 @@
 #[test]
 fn only_direct_heartbeats_count_as_contact() {
     let entry = Peers::new(member(1, "a"), Vec::new());
-    assert_eq!(entry.contacted_peer(at(1_000)), None);
+    assert_eq!(entry.contacted_peer(at(1_000), &SeededRandom::new(1)), None);
     entry.receive(ip(2), [member(2, "b"), member(3, "a"), member(4, "a")], at(1_000));
     assert_eq!(
-        entry.contacted_peer(at(1_000)),
+        entry.contacted_peer(at(1_000), &SeededRandom::new(1)),
         Some(ip(2)),
         "the others are known through it only"
     );
     entry.receive(ip(3), [Member { heartbeat: 1, ..member(3, "a") }], at(1_010));
-    assert_eq!(entry.contacted_peer(at(1_010)), Some(ip(3)), "it is in the same domain");
+    assert_eq!(
+        entry.contacted_peer(at(1_010), &SeededRandom::new(1)),
+        Some(ip(3)),
+        "it is in the same domain"
+    );
 }
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -348,9 +348,9 @@
     }
 
     /// Fetches all items from a peer, so that an entry that starts among others need not read them
-    /// from the store. Has no effect if no peer answers in time, or if its items may be out of
-    /// date.
-    pub(super) async fn fetch_all(&self, replica: &StoreReplica) {
+    /// from the store. Has no effect if no peer answers in time, or if its items may be out of date
+    /// while the store has not `store_failed` to answer.
+    pub(super) async fn fetch_all(&self, replica: &StoreReplica, store_failed: bool) {
         let Some(peer) = self.first_peer().await else {
             return;
         };
@@ -358,7 +358,7 @@
             Ok(delta) => {
                 let (to, age_ms) = (delta.to, delta.proof_age.as_millis());
                 let taken = to > 0
-                    && replica::is_recent(delta.proof_age)
+                    && replica::may_start_with(delta.proof_age, store_failed)
                     && replica.merge(delta, self.now());
                 log::info!("event=fetch peer={peer} from=0 to={to} age_ms={age_ms} taken={taken}");
             }
@@ -371,7 +371,7 @@
         let deadline = self.now() + FIRST_PEER_TIMEOUT;
         loop {
             let now = self.now();
-            let peer = self.dispatcher.peers.contacted_peer(now);
+            let peer = self.dispatcher.peers.contacted_peer(now, self.dispatcher.random());
             if peer.is_some() || now >= deadline {
                 return peer;
             }
--- a/crates/daemon/src/gateway/store_reader.rs
+++ b/crates/daemon/src/gateway/store_reader.rs
@@ -37,6 +37,10 @@
 /// Timeout for one page of a list. A slow store may take a good part of a second.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which an entry without items waits for the store before it asks a peer for them. A slow
+/// store takes a few hundred milliseconds.
+const FIRST_LIST_TIME: Duration = Duration::from_millis(500);
+
 /// Pause after changes, so that the next answer has several of them.
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
 
@@ -129,7 +133,7 @@
             if first_start {
                 self.wait_for_first_items().await;
             } else {
-                self.gossip.fetch_all(&self.replica).await;
+                self.gossip.fetch_all(&self.replica, false).await;
             }
             loop {
                 self.read_if_needed().await;
@@ -176,7 +180,7 @@
             return;
         }
         let result = if self.replica.revision() == 0 {
-            self.read_first_list().await
+            self.read_first_items().await
         } else {
             self.watch().await
         };
@@ -191,11 +195,15 @@
         }
     }
 
-    /// Logs a failed call and waits before the next one.
+    /// Logs a failed call and waits before the next one. An entry without items gets them from a peer
+    /// meanwhile.
     async fn handle_failure(&mut self, err: &Error) {
         self.metrics.store_failures.inc();
         let age = self.replica.proof_age(self.now()).map(|age| age.as_millis());
         log::warn!("event=store state=failed error=\"{err}\" proof_age_ms={age:?}");
+        if self.replica.revision() == 0 {
+            self.gossip.fetch_all(&self.replica, true).await;
+        }
         let half_backoff = replica::backoff(self.failures, self.rank()) / 2;
         self.failures = self.failures.saturating_add(1);
         let max_jitter = u64::try_from(half_backoff.as_micros()).unwrap_or(u64::MAX);
@@ -203,6 +211,17 @@
         tokio::time::sleep(half_backoff + jitter).await;
     }
 
+    /// Reads all items for the first time. If the store takes long, this entry starts with what a peer
+    /// has.
+    async fn read_first_items(&self) -> Result<(), Error> {
+        let mut read = std::pin::pin!(self.read_first_list());
+        if let Ok(result) = tokio::time::timeout(FIRST_LIST_TIME, &mut read).await {
+            return result;
+        }
+        self.gossip.fetch_all(&self.replica, true).await;
+        read.await
+    }
+
     /// Reads all items for the first time. The list may be out of date, which costs the store less;
     /// the changes since then are read before any item is used.
     async fn read_first_list(&self) -> Result<(), Error> {
