--- a/crates/core/src/direct/fleet/choice.rs
+++ b/crates/core/src/direct/fleet/choice.rs
@@ -31,7 +31,6 @@
 /// Resolution of random fractions.
 const FRACTION_STEPS: u64 = 1 << 32;
 
-/// A server that may take the request.
 /// What a server offers for a request.
 #[derive(Debug)]
 struct Rating {
