Claim that a route does not exist only with a recent proof

What callers saw: proper requests denied (404) by entries whose configuration was older than the one in force. Callers retry no request after a 404.

Cause: an entry answered 404 from whatever configuration it held. The state was fenced only after 5 s and only without live peers, and a process counted as up to date at its start, also if it began with the old items of a peer.

A negative answer is now a claim that needs proof: with a freshness proof of at most 2 s, the time in which changes come into force, the answer is 404; otherwise 503, as not run, after which callers try another entry. Routes that are known are served as before.

--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -31,6 +31,7 @@
 use crate::direct::fleet::AttemptEnd;
 use crate::direct::fleet::Fleet;
 use crate::direct::fleet::Pick;
+use crate::direct::freshness::Freshness;
 use crate::direct::peers::Peers;
 use crate::direct::port::Backend;
 use crate::direct::port::Upload;
@@ -53,11 +54,6 @@
 /// still arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(8);
 
-/// Age of the last freshness proof from which on an entry without live peers is fenced and refuses
-/// new requests: it cannot know which failure domains are out of service and which servers have
-/// left.
-const FENCE_AFTER: Duration = Duration::from_secs(5);
-
 /// Fraction of the new requests that are refused for overload below which nearly all requests are new
 /// ones.
 const CALM_REFUSED_FRACTION: f64 = 0.01;
@@ -117,15 +113,13 @@
     config: Mutex<Option<Arc<Config>>>,
     /// Notified when a configuration comes into force.
     configured: Notify,
-    /// The freshness proof: when the state held here was last known to be the store's latest.
-    proved_at: Mutex<Instant>,
+    freshness: Mutex<Freshness>,
     bounds: Mutex<Bounds>,
     usage: Mutex<Usage>,
 }
 
 impl<B: Backend, C: Clock, R: Random> Dispatcher<B, C, R> {
-    /// Creates a dispatcher without a configuration. It counts as holding the store's latest state
-    /// now.
+    /// Creates a dispatcher without a configuration.
     pub fn new(
         (fleet, peers): (Fleet, Peers),
         (backend, clock, random): (B, C, R),
@@ -140,7 +134,7 @@
             random,
             config: Mutex::new(Rank::Intent, None),
             configured: Notify::new(),
-            proved_at: Mutex::new(Rank::Intent, started),
+            freshness: Mutex::new(Rank::Intent, Freshness::new(started)),
             bounds: Mutex::new(Rank::Intent, bounds),
             usage: Mutex::new(Rank::Ledger, Usage::default()),
         }
@@ -190,15 +184,18 @@
 
     /// Records that the state held here was known to be the store's latest at `at`.
     pub fn record_proof(&self, at: Instant) {
-        let mut proved_at = self.proved_at.lock();
-        *proved_at = at.max(*proved_at);
+        self.freshness.lock().record_proof(at);
+    }
+
+    /// Age of the last freshness proof; `None` if there is none.
+    pub fn proof_age(&self, now: Instant) -> Option<Duration> {
+        self.freshness.lock().proof_age(now)
     }
 
     /// Whether this entry is cut off from the platform's store and from all its peers. With contact
     /// to either of them it learns of changes, or knows that there are none.
     pub fn is_fenced(&self, now: Instant) -> bool {
-        let proved_at = *self.proved_at.lock();
-        now.since(proved_at) > FENCE_AFTER && self.peers.is_isolated(now)
+        self.freshness.lock().is_expired(now) && self.peers.is_isolated(now)
     }
 
     /// Applies changed limits.
@@ -215,13 +212,19 @@
     ///
     /// # Errors
     ///
-    /// No configuration is in force, or it has no such route, or this entry is fenced.
+    /// No configuration is in force, or it has no such route, or this entry is fenced. An entry
+    /// whose configuration may be out of date is fenced for the routes that it does not know.
     pub fn route(&self, host: &str, path: &str) -> Result<Arc<Route>, Refusal> {
-        if self.is_fenced(self.clock.now()) {
+        let now = self.clock.now();
+        if self.is_fenced(now) {
             return Err(Refusal::Fenced);
         }
         let config = self.config().ok_or(Refusal::NotReady)?;
-        config.route(host, path).cloned().ok_or(Refusal::UnknownService)
+        match config.route(host, path) {
+            Some(route) => Ok(Arc::clone(route)),
+            None if self.freshness.lock().is_up_to_date(now) => Err(Refusal::UnknownService),
+            None => Err(Refusal::Fenced),
+        }
     }
 
     /// Serves a request. Dropping the future drops the attempts in flight.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -23,6 +23,7 @@
 pub mod contention;
 pub mod dispatch;
 pub mod fleet;
+pub mod freshness;
 pub mod peers;
 pub mod port;
 pub mod probes;
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -288,6 +288,7 @@
     assert!(!dispatcher.set_config(config(6, vec![])));
     assert!(dispatcher.route("a.example", "/r/1").is_ok());
     assert!(dispatcher.set_config(config(12, vec![])));
+    dispatcher.record_proof(dispatcher.clock().now());
     assert_eq!(dispatcher.route("a.example", "/r/1").err(), Some(Refusal::UnknownService));
 }
 
@@ -336,6 +337,24 @@
     assert_eq!(route(), Some(Refusal::Fenced));
 }
 
+/// Guards against an entry that denies a proper request, which its caller will not retry: the route
+/// was added while the entry could not learn of it.
+#[tokio::test(start_paused = true)]
+async fn added_route_denied_by_outdated_entry() {
+    let doubles = ServerDoubles::default();
+    let dispatcher = entry(&doubles, &[Behaviour::Answer(200, WORK_TIME)], 1);
+    let refusal = |path| dispatcher.route("a.example", path).err();
+    assert_eq!(refusal("/added/1"), Some(Refusal::Fenced), "nothing was proved since the start");
+    dispatcher.record_proof(dispatcher.clock().now());
+    tokio::time::sleep(ms(1_900)).await;
+    assert_eq!(refusal("/added/1"), Some(Refusal::UnknownService));
+    tokio::time::sleep(ms(200)).await;
+    assert_eq!(refusal("/added/1"), Some(Refusal::Fenced), "the proof is too old");
+    assert_eq!(refusal("/r/1"), None, "known routes are served all the same");
+    dispatcher.record_proof(dispatcher.clock().now());
+    assert_eq!(refusal("/added/1"), Some(Refusal::UnknownService));
+}
+
 /// Guards against refusals for overload while servers are idle. Work that takes longer than its
 /// latency target, or one answer that was delayed by a suspended process, would otherwise cause
 /// all further requests of a route to be refused permanently. Found by the soak test with seed 37.
