--- /dev/null
+++ b/crates/core/src/direct/replica/delta.rs
@@ -0,0 +1,71 @@
+//! Items of the store, and the changes that entries send to each other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+/// An item of the store, or the tombstone of a removed one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// Key in the store.
+    pub key: Arc<str>,
+    /// Revision of the last change.
+    pub revision: u64,
+    /// Value; `None` if the item was removed.
+    pub value: Option<Bytes>,
+}
+
+/// Changes that lead from one revision to another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Delta {
+    /// Revision that the changes start from; 0 if `items` is the whole state.
+    pub from: u64,
+    /// Revision that the changes lead to.
+    pub to: u64,
+    /// Age of the proof that `to` is the store's latest revision.
+    pub proof_age: Duration,
+    /// Changed items, oldest first.
+    pub items: Vec<Item>,
+}
+
+impl Delta {
+    /// Splits the changes into parts that follow each other, each of at most `limit` bytes by
+    /// `size`. Only the last part has the proof: the others lead to revisions that are no longer
+    /// the store's latest. The second result is false if the parts are not complete: they end
+    /// before the first item that is larger than `limit`, and there are none if this is the whole
+    /// state.
+    pub fn split(self, limit: usize, size: impl Fn(&Item) -> usize) -> (Vec<Self>, bool) {
+        if self.from == 0 {
+            return (Vec::new(), false);
+        }
+        let mut parts = Vec::new();
+        let mut part =
+            Self { from: self.from, to: self.from, proof_age: Duration::MAX, items: Vec::new() };
+        let mut part_bytes = 0;
+        for item in self.items {
+            let bytes = size(&item);
+            if bytes > limit {
+                parts.push(part);
+                return (parts, false);
+            }
+            if part_bytes + bytes > limit {
+                let next = Self {
+                    from: part.to,
+                    to: part.to,
+                    proof_age: Duration::MAX,
+                    items: Vec::new(),
+                };
+                parts.push(std::mem::replace(&mut part, next));
+                part_bytes = 0;
+            }
+            part_bytes += bytes;
+            part.to = item.revision;
+            part.items.push(item);
+        }
+        part.to = self.to;
+        part.proof_age = self.proof_age;
+        parts.push(part);
+        (parts, true)
+    }
+}
