Apply several changes of one item in order when an entry starts

What callers could see: an entry that had just started used a server that had left, or kept a failure domain out of service that was back, until the item changed again.

Cause: an entry starts with a list that may be old and reads the changes since then. Of several changes of one item it took each that had a value, so an item that was written and removed in that time came back as written.

The last change of each item now counts. Evidence: item_written_and_removed_since_the_list fails with the old rule.

--- a/crates/core/src/direct/replica/delta.rs
+++ b/crates/core/src/direct/replica/delta.rs
@@ -1,5 +1,6 @@
 //! Items of the store, and the changes that entries send to each other.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -69,3 +70,15 @@
         (parts, true)
     }
 }
+
+/// The items of a list after `changes`, which may contain several changes of one item.
+pub fn replay(items: Vec<Item>, changes: Vec<Item>) -> Vec<Item> {
+    let mut latest: BTreeMap<Arc<str>, Item> = BTreeMap::new();
+    for item in items.into_iter().chain(changes) {
+        let known = latest.get(&item.key);
+        if known.is_none_or(|known| known.revision < item.revision) {
+            latest.insert(item.key.clone(), item);
+        }
+    }
+    latest.into_values().filter(|item| item.value.is_some()).collect()
+}
--- a/crates/core/src/direct/replica/mod.rs
+++ b/crates/core/src/direct/replica/mod.rs
@@ -25,6 +25,7 @@
 
 pub use self::delta::Delta;
 pub use self::delta::Item;
+pub use self::delta::replay;
 pub use self::reader::READER_COUNT;
 pub use self::reader::READER_KEY;
 pub use self::reader::WATCH_WAIT;
--- a/crates/core/tests/direct_replica.rs
+++ b/crates/core/tests/direct_replica.rs
@@ -14,6 +14,7 @@
 
 use crate::direct_support::at;
 use crate::direct_support::ms;
+use jackdawpin_core::direct::replica;
 use jackdawpin_core::direct::replica::Delta;
 use jackdawpin_core::direct::replica::Item;
 use jackdawpin_core::direct::replica::MergeResult;
@@ -52,6 +53,23 @@
     assert_eq!(restored.len(), 1, "a later revision restores the item");
 }
 
+/// Guards against a removed item that an entry uses after its start: the item was written and
+/// removed again between the old list that the entry read and the changes since then.
+#[test]
+fn item_written_and_removed_since_the_list() {
+    let list = vec![item("a", 3, Some("1")), item("b", 4, Some("1")), item("c", 5, Some("1"))];
+    let changes = vec![
+        item("a", 6, Some("2")),
+        item("d", 7, Some("1")),
+        item("a", 8, None),
+        item("d", 9, None),
+        item("b", 10, Some("2")),
+        item("b", 11, Some("3")),
+    ];
+    let items = replica::replay(list, changes);
+    assert_eq!(items, [item("b", 11, Some("3")), item("c", 5, Some("1"))]);
+}
+
 /// Guards against an older message that restores a removed item.
 #[test]
 fn older_message() {
--- a/crates/daemon/src/gateway/store_reader.rs
+++ b/crates/daemon/src/gateway/store_reader.rs
@@ -225,13 +225,11 @@
     /// Reads all items for the first time. The list may be out of date, which costs the store less;
     /// the changes since then are read before any item is used.
     async fn read_first_list(&self) -> Result<(), Error> {
-        let (mut items, revision) = self.request_list(Freshness::Stale).await?;
+        let (items, revision) = self.request_list(Freshness::Stale).await?;
         let Some(changes) = self.request_changes(revision, Duration::ZERO).await? else {
             return self.read_list_again().await;
         };
-        let is_changed = |key: &str| changes.items.iter().any(|item| *item.key == *key);
-        items.retain(|item| !is_changed(&item.key));
-        items.extend(changes.items.iter().filter(|item| item.value.is_some()).cloned());
+        let items = replica::replay(items, changes.items);
         self.replace_items(changes.revision, items, self.now()).await;
         Ok(())
     }
