Prove the first items by when they were asked for

The proof of the first read was as young as the moment at which its answer was handled. A process that is suspended between the answer's arrival and then would take old items for the latest ones. Lists and watches already count from the request.

--- a/crates/daemon/src/gateway/store_reader.rs
+++ b/crates/daemon/src/gateway/store_reader.rs
@@ -226,11 +226,12 @@
     /// the changes since then are read before any item is used.
     async fn read_first_list(&self) -> Result<(), Error> {
         let (items, revision) = self.request_list(Freshness::Stale).await?;
+        let sent_at = self.now();
         let Some(changes) = self.request_changes(revision, Duration::ZERO).await? else {
             return self.read_list_again().await;
         };
         let items = replica::replay(items, changes.items);
-        self.replace_items(changes.revision, items, self.now()).await;
+        self.replace_items(changes.revision, items, sent_at).await;
         Ok(())
     }
 
