Order the store's state by epoch before revision

What callers saw: after the store had come back from an older copy, a confirmed configuration was never taken (CONFIG) and routes that it added got 404 (DENIED), from all entries and for good. Store readers listed and watched the store in a loop until its revision had reached the one from before.

Cause: everything that orders the replica (newer items, deltas, whole states, proofs, tombstones, fetches, the watch) compared revisions alone and took them for numbers that never go back. A restored store gives them out again: a new item had a revision at which another value was held, and counted as known. The lists that were ignored in this way were recorded as proofs of freshness.

Class of fault: a logical clock used across incarnations of its source.

A position is now an epoch (Store-Era) and a revision, in messages between entries as well. A later epoch replaces all items whatever their revisions; an earlier one changes and proves nothing. An entry that starts reads no old list once the store has been restored. Messages of stores without epochs are encoded as before.

server_counts, unlist and the expiry of servers are as before; the table's update moved to the table so that a restored item can use it under one lock.

--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod curve;
 mod queue;
+mod restored;
 mod score;
 mod server;
 mod table;
@@ -23,7 +24,6 @@
 use self::table::ServerTable;
 use crate::direct::cold;
 use crate::direct::port::ProbeAnswer;
-use crate::direct::rendezvous;
 use crate::lock::Mutex;
 use crate::lock::Rank;
 use crate::name;
@@ -170,21 +170,7 @@
 
     /// Adds a server or applies the platform's latest item of it.
     pub fn update(&self, server: Server, now: Instant) {
-        let mut table = self.table.lock();
-        let moved =
-            table.service_of.get(&server.name).filter(|old| **old != server.service).cloned();
-        if let Some(old) = moved {
-            table.remove(&old, &server.name);
-        }
-        table.service_of.insert(server.name.clone(), server.service.clone());
-        let pool = table.pools.entry(server.service.clone()).or_default();
-        match pool.server(server.name.as_str()) {
-            Some(state) => state.update(server, now),
-            None => {
-                let score = rendezvous::score(server.name.as_str(), self.ip);
-                pool.servers.push(ServerState::new(server, score, now));
-            }
-        }
+        self.table.lock().update(server, self.ip, now);
     }
 
     /// Records that the platform no longer lists a server. A draining server is removed at once;
@@ -196,13 +182,19 @@
         };
         let (name, service) = (name.clone(), service.clone());
         table.remove_expired(now);
-        match table.state(service.as_str(), name.as_str()) {
-            Some(state) if !state.server.draining => {
-                if state.listing == Listing::Listed {
-                    state.listing = Listing::UsableUntil(now + grace);
-                }
+        let Some(state) = table.state(service.as_str(), name.as_str()) else {
+            return;
+        };
+        match state.listing {
+            Listing::UsableUntil(_) if !state.server.draining => {}
+            listing if !state.server.draining && listing.is_usable(now) => {
+                state.listing = Listing::UsableUntil(now + grace);
+            }
+            _ => {
+                let server = state.server.clone();
+                table.record_departure(&server, now);
+                table.remove(&service, &name);
             }
-            _ => table.remove(&service, &name),
         }
     }
 
@@ -210,7 +202,7 @@
     pub fn set_domain_out(&self, domain: &name::Domain, out: bool) {
         let mut table = self.table.lock();
         if out {
-            table.out_of_service.insert(domain.clone());
+            table.out_of_service.insert(domain.clone(), None);
         } else {
             table.out_of_service.remove(domain);
         }
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -51,6 +51,8 @@
     pub draining: bool,
     /// When it started, in milliseconds since the Unix epoch. A change shows a restart.
     pub started_ms: u64,
+    /// Number of the item among those that the server has written since its start.
+    pub sequence: u64,
 }
 
 /// The load that a server reports.
@@ -100,6 +102,20 @@
     /// The platform's item expired although the server had not announced to leave. The server may
     /// be used until this time.
     UsableUntil(Instant),
+    /// A restored copy of the store lists the server although it had left. It may be used from this
+    /// time on.
+    UsableFrom(Instant),
+}
+
+impl Listing {
+    /// Whether a server may be used at `now`.
+    pub(super) fn is_usable(self, now: Instant) -> bool {
+        match self {
+            Self::Listed => true,
+            Self::UsableUntil(end) => now <= end,
+            Self::UsableFrom(start) => now >= start,
+        }
+    }
 }
 
 /// A server and what this entry knows of it.
--- a/crates/core/src/direct/fleet/table.rs
+++ b/crates/core/src/direct/fleet/table.rs
@@ -1,16 +1,20 @@
 //! The state behind [`Fleet`](super::Fleet): servers by service, and what is learned from answers.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use super::AttemptEnd;
 use super::Pick;
 use super::curve::Curve;
 use super::queue::Queue;
+use super::restored::Departure;
 use super::server::Listing;
 use super::server::Load;
+use super::server::Server;
 use super::server::ServerState;
+use crate::direct::rendezvous;
 use crate::name;
 use crate::time::Instant;
 
@@ -47,7 +51,10 @@
 pub(super) struct ServerTable {
     pub(super) pools: HashMap<name::Service, Pool>,
     pub(super) service_of: HashMap<name::Vm, name::Service>,
-    pub(super) out_of_service: HashSet<name::Domain>,
+    /// Failure domains out of service; until a time if the store no longer says so.
+    pub(super) out_of_service: HashMap<name::Domain, Option<Instant>>,
+    /// Servers that have left, the earliest first.
+    pub(super) departures: VecDeque<Departure>,
     pub(super) usual_seconds: HashMap<Box<str>, f64>,
     pub(super) next_attempt_id: u64,
 }
@@ -64,27 +71,55 @@
         }
     }
 
+    /// Adds a server or applies the platform's latest item of it. `ip` is this entry's address.
+    pub(super) fn update(
+        &mut self,
+        server: Server,
+        ip: Ipv4Addr,
+        now: Instant,
+    ) -> Option<&mut ServerState> {
+        let name = server.name.clone();
+        let moved = self.service_of.get(&name).filter(|old| **old != server.service).cloned();
+        if let Some(old) = moved {
+            self.remove(&old, &name);
+        }
+        self.service_of.insert(name.clone(), server.service.clone());
+        let pool = self.pools.entry(server.service.clone()).or_default();
+        match pool.server(name.as_str()) {
+            Some(state) => state.update(server, now),
+            None => {
+                let score = rendezvous::score(name.as_str(), ip);
+                pool.servers.push(ServerState::new(server, score, now));
+            }
+        }
+        pool.server(name.as_str())
+    }
+
     /// Removes unlisted servers whose grace period is over and that have no attempts in flight.
     pub(super) fn remove_expired(&mut self, now: Instant) {
         let expired = |state: &ServerState| match state.listing {
-            Listing::Listed => false,
+            Listing::Listed | Listing::UsableFrom(_) => false,
             Listing::UsableUntil(end) => end < now && state.in_flight.is_empty(),
         };
+        let mut departed: Vec<Server> = Vec::new();
         for pool in self.pools.values_mut() {
-            for state in pool.servers.iter().filter(|state| expired(state)) {
-                self.service_of.remove(&state.server.name);
-            }
+            let servers = pool.servers.iter().filter(|state| expired(state));
+            departed.extend(servers.map(|state| state.server.clone()));
             pool.servers.retain(|state| !expired(state));
         }
+        for server in departed {
+            self.service_of.remove(&server.name);
+            self.record_departure(&server, now);
+        }
     }
 
     /// Whether a server may receive work.
     pub(super) fn usable(&self, state: &ServerState, now: Instant) -> bool {
-        let in_grace = match state.listing {
-            Listing::Listed => true,
-            Listing::UsableUntil(end) => now <= end,
-        };
-        in_grace && !state.server.draining && !self.out_of_service.contains(&state.server.domain)
+        let domain_out = self
+            .out_of_service
+            .get(&state.server.domain)
+            .is_some_and(|until| until.is_none_or(|until| now < until));
+        state.listing.is_usable(now) && !state.server.draining && !domain_out
     }
 
     /// Records what the end of an attempt shows about the work of `route` and about the servers of
--- a/crates/core/src/direct/replica/delta.rs
+++ b/crates/core/src/direct/replica/delta.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 
+use super::Cursor;
+
 /// An item of the store, or the tombstone of a removed one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -17,9 +19,18 @@
     pub value: Option<Bytes>,
 }
 
+impl Item {
+    /// The tombstone of this item, which was removed at `revision`.
+    pub(super) fn tombstone(&self, revision: u64) -> Self {
+        Self { key: self.key.clone(), revision, value: None }
+    }
+}
+
 /// Changes that lead from one revision to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Delta {
+    /// Epoch of the revisions.
+    pub epoch: u64,
     /// Revision that the changes start from; 0 if `items` is the whole state.
     pub from: u64,
     /// Revision that the changes lead to.
@@ -31,18 +42,35 @@
 }
 
 impl Delta {
+    /// The position that the changes lead to.
+    pub fn cursor(&self) -> Cursor {
+        Cursor { epoch: self.epoch, revision: self.to }
+    }
+
+    /// Whether these are all items instead of changes.
+    pub fn is_whole(&self) -> bool {
+        self.from == 0
+    }
+
     /// Splits the changes into parts that follow each other, each of at most `limit` bytes by
     /// `size`. Only the last part has the proof: the others lead to revisions that are no longer
     /// the store's latest. The second result is false if the parts are not complete: they end
     /// before the first item that is larger than `limit`, and there are none if this is the whole
     /// state.
     pub fn split(self, limit: usize, size: impl Fn(&Item) -> usize) -> (Vec<Self>, bool) {
-        if self.from == 0 {
+        if self.is_whole() {
             return (Vec::new(), false);
         }
         let mut parts = Vec::new();
-        let mut part =
-            Self { from: self.from, to: self.from, proof_age: Duration::MAX, items: Vec::new() };
+        let epoch = self.epoch;
+        let part_from = |revision| Self {
+            epoch,
+            from: revision,
+            to: revision,
+            proof_age: Duration::MAX,
+            items: Vec::new(),
+        };
+        let mut part = part_from(self.from);
         let mut part_bytes = 0;
         for item in self.items {
             let bytes = size(&item);
@@ -51,12 +79,7 @@
                 return (parts, false);
             }
             if part_bytes + bytes > limit {
-                let next = Self {
-                    from: part.to,
-                    to: part.to,
-                    proof_age: Duration::MAX,
-                    items: Vec::new(),
-                };
+                let next = part_from(part.to);
                 parts.push(std::mem::replace(&mut part, next));
                 part_bytes = 0;
             }
--- a/crates/core/src/direct/replica/mod.rs
+++ b/crates/core/src/direct/replica/mod.rs
@@ -13,16 +13,25 @@
 //! Items carry the revision of their last change. A removed item is kept as a tombstone with its
 //! revision, so that an older message cannot restore it and a peer that fell behind learns of the
 //! removal.
+//!
+//! A store that is restored from an older copy begins a new epoch, in which revisions are given out
+//! again. All messages therefore name a [`Cursor`], and revisions are compared within an epoch only.
+//! A later epoch replaces all items at once; what the entry knew of servers and failure domains that
+//! the copy does not show is decided where they are used ([`crate::direct::fleet`]).
 
+mod cursor;
 mod delta;
 mod reader;
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::time::Instant;
 
+pub use self::cursor::Cursor;
 pub use self::delta::Delta;
 pub use self::delta::Item;
 pub use self::delta::replay;
@@ -39,33 +48,61 @@
 /// Largest number of tombstones that are kept.
 const MAX_TOMBSTONES: usize = 512;
 
-/// The result of merging a delta into the replica.
+/// The result of merging changes into the replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MergeResult {
-    /// The delta was merged; these items changed.
+    /// The changes were merged, or are not later than the replica; these items changed.
     Changed(Vec<Item>),
-    /// The delta starts from a later revision than the replica's: earlier changes are missing.
+    /// The changes are the whole state of a later epoch; these items differ from before, and some
+    /// of them may be older.
+    Restored(Vec<Item>),
+    /// The changes start from a later position than the replica's: earlier changes are missing.
     Gap,
 }
 
-/// A copy of the store's items, with its revision and freshness proofs.
-#[derive(Debug, Default)]
+/// Whether the first item is later than the second one, which has the same key and is from another
+/// epoch, by versions that their values state.
+pub type IsLater = fn(&Item, &Item) -> bool;
+
+/// A copy of the store's items, with its position and freshness proofs.
+#[derive(Debug)]
 pub struct Replica {
+    is_later: IsLater,
     items: BTreeMap<Arc<str>, Item>,
-    /// Revision that the items have reached.
-    revision: u64,
+    /// Position that the items have reached.
+    cursor: Cursor,
     /// The last freshness proof.
     proved_at: Option<Instant>,
     /// The last freshness proof that came from a peer.
     peer_proved_at: Option<Instant>,
-    /// All changes after this revision are known.
+    /// All changes of the epoch after this revision are known.
     known_from: u64,
 }
 
+impl Default for Replica {
+    /// Creates an empty replica of items without versions of their own.
+    fn default() -> Self {
+        Self::new(|_, _| false)
+    }
+}
+
 impl Replica {
-    /// The revision of the replica; 0 if nothing was read.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Creates an empty replica. A restored store does not replace an item by one that it is later
+    /// than.
+    pub fn new(is_later: IsLater) -> Self {
+        Self {
+            is_later,
+            items: BTreeMap::new(),
+            cursor: Cursor::default(),
+            proved_at: None,
+            peer_proved_at: None,
+            known_from: 0,
+        }
+    }
+
+    /// The position of the replica.
+    pub fn cursor(&self) -> Cursor {
+        self.cursor
     }
 
     /// Age of the last freshness proof; `None` if there is none.
@@ -78,19 +115,37 @@
         self.peer_proved_at.map(|at| now.since(at))
     }
 
-    /// Applies changes that lead from the replica's revision to `revision`. `proved_at` is when
-    /// `revision` was the store's latest. Returns the items that changed.
-    pub fn apply(&mut self, revision: u64, items: Vec<Item>, proved_at: Instant) -> Vec<Item> {
+    /// Applies changes that lead from the replica's position to `cursor`. `proved_at` is when
+    /// `cursor` was the store's latest position. Changes of another epoch do not follow the
+    /// replica's, whatever their revisions.
+    pub fn apply(&mut self, cursor: Cursor, items: Vec<Item>, proved_at: Instant) -> MergeResult {
+        if cursor.epoch != self.cursor.epoch {
+            return MergeResult::Gap;
+        }
         let changed: Vec<Item> = items.into_iter().filter(|item| self.insert_newer(item)).collect();
-        self.advance(revision, proved_at);
-        changed
+        self.advance(cursor.revision, proved_at);
+        MergeResult::Changed(changed)
+    }
+
+    /// Replaces the items by the whole state, read at `cursor` and later. Items that are missing in
+    /// it were removed. The state of an earlier epoch changes and proves nothing.
+    pub fn replace(&mut self, cursor: Cursor, items: Vec<Item>, proved_at: Instant) -> MergeResult {
+        match cursor.epoch.cmp(&self.cursor.epoch) {
+            Ordering::Less => MergeResult::Changed(Vec::new()),
+            Ordering::Equal => {
+                MergeResult::Changed(self.replace_in_epoch(cursor.revision, items, proved_at))
+            }
+            Ordering::Greater => self.begin_epoch(cursor, items, proved_at),
+        }
     }
 
-    /// Replaces the items by the whole state, read at `revision` and later. Items that are missing
-    /// in it were removed. Returns the items that changed.
-    pub fn replace(&mut self, revision: u64, items: Vec<Item>, proved_at: Instant) -> Vec<Item> {
-        let listed: std::collections::BTreeSet<Arc<str>> =
-            items.iter().map(|item| item.key.clone()).collect();
+    fn replace_in_epoch(
+        &mut self,
+        revision: u64,
+        items: Vec<Item>,
+        proved_at: Instant,
+    ) -> Vec<Item> {
+        let listed: BTreeSet<Arc<str>> = items.iter().map(|item| item.key.clone()).collect();
         let removed = |item: &&Item| {
             item.value.is_some() && item.revision <= revision && !listed.contains(&item.key)
         };
@@ -98,11 +153,7 @@
             .items
             .values()
             .filter(removed)
-            .map(|item| Item {
-                key: item.key.clone(),
-                revision: revision.max(item.revision + 1),
-                value: None,
-            })
+            .map(|item| item.tombstone(revision.max(item.revision + 1)))
             .collect();
         let mut changed: Vec<Item> =
             items.into_iter().filter(|item| self.insert_newer(item)).collect();
@@ -114,6 +165,33 @@
         changed
     }
 
+    /// Replaces all items, whatever their revisions, by the whole state of a later epoch. An item
+    /// that is later by its own version is kept, so that entries that start get it from this one.
+    fn begin_epoch(&mut self, cursor: Cursor, items: Vec<Item>, proved_at: Instant) -> MergeResult {
+        let is_first = self.cursor.is_empty();
+        let known = std::mem::take(&mut self.items);
+        let newest = |item: Item| match known.get(&item.key) {
+            Some(known) if (self.is_later)(known, &item) => {
+                Item { revision: cursor.revision.max(item.revision), ..known.clone() }
+            }
+            _ => item,
+        };
+        self.items = items.into_iter().map(newest).map(|item| (item.key.clone(), item)).collect();
+        let differs = |item: &&Item| {
+            known.get(&item.key).and_then(|item| item.value.as_ref()) != item.value.as_ref()
+        };
+        let mut changed: Vec<Item> = self.items.values().filter(differs).cloned().collect();
+        let is_removed = |item: &&Item| item.value.is_some() && !self.items.contains_key(&item.key);
+        let removed: Vec<Item> =
+            known.values().filter(is_removed).map(|item| item.tombstone(cursor.revision)).collect();
+        self.items.extend(removed.iter().map(|item| (item.key.clone(), item.clone())));
+        changed.extend(removed);
+        self.known_from = cursor.revision;
+        self.cursor = cursor;
+        self.advance(cursor.revision, proved_at);
+        if is_first { MergeResult::Changed(changed) } else { MergeResult::Restored(changed) }
+    }
+
     /// Discards all proofs after the process was suspended: messages that arrived meanwhile may be
     /// older than they state.
     pub fn discard_proofs(&mut self) {
@@ -124,47 +202,55 @@
     /// Merges the changes that a peer sent.
     pub fn merge(&mut self, delta: Delta, now: Instant) -> MergeResult {
         let proved_at = now.before(delta.proof_age);
-        if delta.to >= self.revision && delta.from <= self.revision {
-            self.record_peer_proof(proved_at);
-        }
-        if delta.to == 0 || delta.to < self.revision {
+        let (cursor, known) = (delta.cursor(), self.cursor);
+        if cursor.is_empty() || cursor < known {
             // The peer is behind; its proof does not cover the later changes that are known here.
             return MergeResult::Changed(Vec::new());
         }
-        if delta.from == 0 {
-            return MergeResult::Changed(self.replace(delta.to, delta.items, proved_at));
+        let follows = delta.epoch == known.epoch && delta.from <= known.revision;
+        if follows || delta.is_whole() {
+            self.record_peer_proof(proved_at);
+        }
+        if delta.is_whole() {
+            return self.replace(cursor, delta.items, proved_at);
         }
-        if delta.from > self.revision {
+        if !follows {
             return MergeResult::Gap;
         }
-        MergeResult::Changed(self.apply(delta.to, delta.items, proved_at))
+        self.apply(cursor, delta.items, proved_at)
     }
 
-    /// Records a peer's proof, of the age `proof_age`, that `revision` is the store's latest. False
-    /// if the replica's revision is lower, so that the changes must be fetched.
-    pub fn confirm(&mut self, revision: u64, proof_age: Duration, now: Instant) -> bool {
-        if revision > self.revision {
+    /// Records a peer's proof, of the age `proof_age`, that `cursor` is the store's latest position.
+    /// False if the replica's position is earlier, so that the changes must be fetched.
+    pub fn confirm(&mut self, cursor: Cursor, proof_age: Duration, now: Instant) -> bool {
+        if cursor > self.cursor {
             return false;
         }
-        if revision == self.revision {
+        if cursor == self.cursor {
             self.record_peer_proof(now.before(proof_age));
-            self.advance(revision, now.before(proof_age));
+            self.advance(cursor.revision, now.before(proof_age));
         }
         true
     }
 
-    /// The changes since revision `from`, or the whole state if `from` is 0 or not all changes are
-    /// known.
-    pub fn changes_since(&self, from: u64, now: Instant) -> Delta {
+    /// The changes since `from`, or the whole state if `from` is empty, in another epoch, or not all
+    /// changes since then are known.
+    pub fn changes_since(&self, from: Cursor, now: Instant) -> Delta {
         let proof_age = self.proof_age(now).unwrap_or(Duration::MAX);
-        let whole = from == 0 || from < self.known_from;
-        let items = self
-            .items
-            .values()
-            .filter(|item| if whole { item.value.is_some() } else { item.revision > from });
+        let whole =
+            from.is_empty() || from.epoch != self.cursor.epoch || from.revision < self.known_from;
+        let items = self.items.values().filter(|item| {
+            if whole { item.value.is_some() } else { item.revision > from.revision }
+        });
         let mut items: Vec<Item> = items.cloned().collect();
         items.sort_by_key(|item| item.revision);
-        Delta { from: if whole { 0 } else { from }, to: self.revision, proof_age, items }
+        Delta {
+            epoch: self.cursor.epoch,
+            from: if whole { 0 } else { from.revision },
+            to: self.cursor.revision,
+            proof_age,
+            items,
+        }
     }
 
     fn record_peer_proof(&mut self, proved_at: Instant) {
@@ -191,7 +277,7 @@
     /// Records that the items have reached `revision`, and that it was the store's latest at
     /// `proved_at`.
     fn advance(&mut self, revision: u64, proved_at: Instant) {
-        self.revision = self.revision.max(revision);
+        self.cursor.revision = self.cursor.revision.max(revision);
         if self.proved_at.is_none_or(|at| proved_at > at) {
             self.proved_at = Some(proved_at);
         }
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -87,6 +87,7 @@
         slots: 3,
         draining: false,
         started_ms: 1,
+        sequence: 1,
     }
 }
 
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -20,6 +20,7 @@
 use crate::listen::Context;
 use crate::metrics::CONTENT_TYPE as METRICS_TYPE;
 use crate::query;
+use jackdawpin_core::direct::replica::Cursor;
 use jackdawpin_core::port::Clock;
 use jackdawpin_wire as wire;
 
@@ -43,11 +44,15 @@
         Self { dispatcher, replica, metrics }
     }
 
-    /// Answers a peer that fetches the changes since a revision; all items if it gives no valid
+    /// Answers a peer that fetches the changes since a position; all items if it gives no valid
     /// one.
     fn changes(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-        let since = query::value(request.uri(), "since").and_then(|text| text.parse().ok());
-        let delta = self.replica.changes_since(since.unwrap_or(0), self.dispatcher.clock().now());
+        let number = |name| query::value(request.uri(), name).and_then(|text| text.parse().ok());
+        let since = Cursor {
+            epoch: number("epoch").unwrap_or_default(),
+            revision: number("since").unwrap_or_default(),
+        };
+        let delta = self.replica.changes_since(since, self.dispatcher.clock().now());
         match wire::encode(&convert::delta_to_wire(&delta)) {
             Ok(body) => ok_with_body(body, wire::MEDIA_TYPE),
             Err(err) => {
--- a/crates/daemon/src/gateway/convert.rs
+++ b/crates/daemon/src/gateway/convert.rs
@@ -8,6 +8,7 @@
 use serde_bytes::ByteBuf;
 
 use jackdawpin_core::direct::peers::Member;
+use jackdawpin_core::direct::replica::Cursor;
 use jackdawpin_core::direct::replica::Delta;
 use jackdawpin_core::direct::replica::Item;
 use jackdawpin_core::name;
@@ -61,9 +62,15 @@
         to: delta.to,
         age_ms: saturating_millis(delta.proof_age),
         items: delta.items.iter().map(item).collect(),
+        epoch: delta.epoch,
     }
 }
 
+/// The position that a notice announces.
+pub(super) fn notice_cursor(notice: &wire::RevisionNotice) -> Cursor {
+    Cursor { epoch: notice.epoch, revision: notice.to }
+}
+
 /// Whole milliseconds of `duration`, at most `u64::MAX`.
 pub(super) fn saturating_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
@@ -83,6 +90,7 @@
         value: item.value.map(|value| Bytes::from(value.into_vec())),
     };
     Delta {
+        epoch: delta.epoch,
         from: delta.from,
         to: delta.to,
         proof_age: Duration::from_millis(delta.age_ms),
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -20,6 +20,7 @@
 use jackdawpin_core::direct::peers::HEARTBEAT_INTERVAL;
 use jackdawpin_core::direct::peers::MemberOrder;
 use jackdawpin_core::direct::replica;
+use jackdawpin_core::direct::replica::Cursor;
 use jackdawpin_core::direct::spread;
 use jackdawpin_core::direct::spread::Branch;
 use jackdawpin_core::lock::Mutex;
@@ -78,9 +79,9 @@
     port: u16,
     /// Address of this entry.
     own_ip: Ipv4Addr,
-    /// The revisions up to which the last two updates went. An update starts from the older one, so
+    /// The positions up to which the last two updates went. An update starts from the older one, so
     /// that it also has the changes of the one before, which may be lost.
-    sent_revisions: Mutex<[u64; 2]>,
+    sent: Mutex<[Cursor; 2]>,
     /// Whether changes are being fetched.
     fetching: AtomicBool,
     /// Notices to be sent on once the changes that they announce are here.
@@ -113,7 +114,7 @@
             peer_client: PeerClient::new(client, ports.control),
             port: ports.datagrams,
             own_ip,
-            sent_revisions: Mutex::new(Rank::Connections, [0; 2]),
+            sent: Mutex::new(Rank::Connections, [Cursor::default(); 2]),
             fetching: AtomicBool::new(false),
             pending: Mutex::new(Rank::Connections, Vec::new()),
         })
@@ -152,15 +153,16 @@
     /// Sends the latest changes to all live entries.
     pub(super) async fn send_update(&self, replica: &StoreReplica) {
         let now = self.now();
-        let revision = replica.revision();
+        let cursor = replica.cursor();
         let from = {
-            let mut sent = self.sent_revisions.lock();
+            let mut sent = self.sent.lock();
             let from = sent[0];
-            *sent = [sent[1], revision];
+            *sent = [sent[1], cursor];
             from
         };
-        let delta = replica.changes_since(from.max(1), now);
+        let delta = replica.changes_since(from, now);
         let ahead = wire::RevisionNotice {
+            epoch: delta.epoch,
             to: delta.to,
             age_ms: convert::saturating_millis(delta.proof_age),
         };
@@ -308,7 +310,8 @@
                 }
             }
             wire::StoreUpdate::Ahead(ahead) => {
-                if replica.confirm(ahead.to, Duration::from_millis(ahead.age_ms), now) {
+                let cursor = convert::notice_cursor(ahead);
+                if replica.confirm(cursor, Duration::from_millis(ahead.age_ms), now) {
                     self.send_branches(update, spread::branches(targets)).await;
                     return;
                 }
@@ -331,15 +334,16 @@
             tokio::time::sleep(delay).await;
             gossip.fetch_missing(peer, &replica).await;
             gossip.fetching.store(false, Ordering::Release);
-            gossip.send_pending(replica.revision()).await;
+            gossip.send_pending(replica.cursor()).await;
         });
     }
 
-    /// Sends on the notices of changes up to `revision`, which are here now. Later ones are dropped:
+    /// Sends on the notices of changes up to `cursor`, which are here now. Later ones are dropped:
     /// the next update announces them again.
-    async fn send_pending(&self, revision: u64) {
+    async fn send_pending(&self, cursor: Cursor) {
         let pending = std::mem::take(&mut *self.pending.lock());
-        for notice in pending.into_iter().filter(|notice| notice.ahead.to <= revision) {
+        let is_here = |notice: &PendingNotice| convert::notice_cursor(&notice.ahead) <= cursor;
+        for notice in pending.into_iter().filter(is_here) {
             let waited = convert::saturating_millis(self.now().since(notice.received));
             let age_ms = notice.ahead.age_ms.saturating_add(waited);
             let update = wire::StoreUpdate::Ahead(wire::RevisionNotice { age_ms, ..notice.ahead });
@@ -354,13 +358,16 @@
         let Some(peer) = self.first_peer().await else {
             return;
         };
-        match self.peer_client.fetch_changes(peer, 0, FETCH_ALL_TIMEOUT).await {
+        match self.peer_client.fetch_changes(peer, Cursor::default(), FETCH_ALL_TIMEOUT).await {
             Ok(delta) => {
-                let (to, age_ms) = (delta.to, delta.proof_age.as_millis());
+                let (epoch, to, age_ms) = (delta.epoch, delta.to, delta.proof_age.as_millis());
                 let taken = to > 0
                     && replica::may_start_with(delta.proof_age, store_failed)
                     && replica.merge(delta, self.now());
-                log::info!("event=fetch peer={peer} from=0 to={to} age_ms={age_ms} taken={taken}");
+                log::info!(
+                    "event=fetch peer={peer} epoch={epoch} from=0 to={to} age_ms={age_ms} \
+                     taken={taken}"
+                );
             }
             Err(err) => log::warn!("event=fetch peer={peer} error=\"{err}\""),
         }
@@ -381,11 +388,13 @@
 
     /// Fetches the changes that are missing here from `peer`.
     async fn fetch_missing(&self, peer: Ipv4Addr, replica: &StoreReplica) {
-        match self.peer_client.fetch_changes(peer, replica.revision(), FETCH_TIMEOUT).await {
+        match self.peer_client.fetch_changes(peer, replica.cursor(), FETCH_TIMEOUT).await {
             Ok(delta) => {
-                let (from, to) = (delta.from, delta.to);
+                let (epoch, from, to) = (delta.epoch, delta.from, delta.to);
                 let taken = replica.merge(delta, self.now());
-                log::info!("event=fetch peer={peer} from={from} to={to} taken={taken}");
+                log::info!(
+                    "event=fetch peer={peer} epoch={epoch} from={from} to={to} taken={taken}"
+                );
             }
             Err(err) => log::warn!("event=fetch peer={peer} error=\"{err}\""),
         }
--- a/crates/daemon/src/gateway/peer_client.rs
+++ b/crates/daemon/src/gateway/peer_client.rs
@@ -14,6 +14,7 @@
 use crate::exchange::Client;
 use crate::peer;
 use crate::peer::Error;
+use jackdawpin_core::direct::replica::Cursor;
 use jackdawpin_core::direct::replica::Delta;
 use jackdawpin_core::port::Clock;
 use jackdawpin_wire as wire;
@@ -34,8 +35,8 @@
         Self { client, port }
     }
 
-    /// Fetches the changes since revision `since` that `entry` has; all items if `since` is 0 or if
-    /// it does not have all changes.
+    /// Fetches the changes since the position `since` that `entry` has; all items if `since` is empty
+    /// or in another epoch, or if it does not have all changes.
     ///
     /// # Errors
     ///
@@ -43,11 +44,16 @@
     pub(super) async fn fetch_changes(
         &self,
         entry: Ipv4Addr,
-        since: u64,
+        since: Cursor,
         timeout: Duration,
     ) -> Result<Delta, Error> {
         let address = SocketAddr::from((entry, self.port));
-        let path = Uri::try_from(format!("{}?since={since}", wire::path::STORE_CHANGES))?;
+        let path = Uri::try_from(format!(
+            "{}?since={}&epoch={}",
+            wire::path::STORE_CHANGES,
+            since.revision,
+            since.epoch
+        ))?;
         let request = peer::build_request(Method::GET, path, Bytes::new());
         let sent_at = BootClock.now();
         let body =
--- a/crates/daemon/src/gateway/store_reader.rs
+++ b/crates/daemon/src/gateway/store_reader.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
@@ -20,7 +22,9 @@
 use crate::clock::BootClock;
 use crate::exchange;
 use crate::exchange::Client;
+use crate::headers;
 use jackdawpin_core::direct::replica;
+use jackdawpin_core::direct::replica::Cursor;
 use jackdawpin_core::direct::replica::Item;
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Random;
@@ -75,6 +79,10 @@
             source(err)
             display("{}", err)
         }
+        /// The pages of a list are from different epochs of the store.
+        Epoch(first: u64, later: u64) {
+            display("the store was restored between two pages: epochs {} and {}", first, later)
+        }
         /// The answer has an unexpected status.
         Status(status: StatusCode) {
             display("status {}", status)
@@ -88,6 +96,14 @@
     }
 }
 
+/// An answer of the store.
+#[derive(Debug)]
+struct Answer {
+    status: StatusCode,
+    epoch: u64,
+    body: Bytes,
+}
+
 /// Reads the store while this entry is a store reader.
 #[derive(Debug)]
 pub(super) struct StoreReader {
@@ -150,7 +166,7 @@
         tokio::time::sleep(PEER_DISCOVERY_TIME).await;
         let deadline = self.now() + FIRST_UPDATE_TIMEOUT;
         while self.rank().is_none_or(|rank| rank >= replica::READER_COUNT)
-            && self.replica.revision() == 0
+            && self.replica.cursor().is_empty()
             && self.now() < deadline
         {
             tokio::time::sleep(CHECK_INTERVAL).await;
@@ -179,7 +195,7 @@
             tokio::time::sleep(time_left.min(CHECK_INTERVAL)).await;
             return;
         }
-        let result = if self.replica.revision() == 0 {
+        let result = if self.replica.cursor().is_empty() {
             self.read_first_items().await
         } else {
             self.watch().await
@@ -201,7 +217,7 @@
         self.metrics.store_failures.inc();
         let age = self.replica.proof_age(self.now()).map(|age| age.as_millis());
         log::warn!("event=store state=failed error=\"{err}\" proof_age_ms={age:?}");
-        if self.replica.revision() == 0 {
+        if self.replica.cursor().is_empty() {
             self.gossip.fetch_all(&self.replica, true).await;
         }
         let half_backoff = replica::backoff(self.failures, self.rank()) / 2;
@@ -225,49 +241,63 @@
     /// Reads all items for the first time. The list may be out of date, which costs the store less;
     /// the changes since then are read before any item is used.
     async fn read_first_list(&self) -> Result<(), Error> {
-        let (items, revision) = self.request_list(Freshness::Stale).await?;
+        let (items, cursor) = self.request_list(Freshness::Stale).await?;
+        if cursor.is_restored() {
+            return self.read_list_again().await;
+        }
         let sent_at = self.now();
-        let Some(changes) = self.request_changes(revision, Duration::ZERO).await? else {
+        let Some(changes) = self.request_changes(cursor, Duration::ZERO).await? else {
             return self.read_list_again().await;
         };
         let items = replica::replay(items, changes.items);
-        self.replace_items(changes.revision, items, sent_at).await;
+        let cursor = Cursor { revision: changes.revision, ..cursor };
+        self.replace_items(cursor, items, sent_at).await;
         Ok(())
     }
 
     /// Reads all items again, because changes are missing.
     async fn read_list_again(&self) -> Result<(), Error> {
         let sent_at = self.now();
-        let (items, revision) = self.request_list(Freshness::Latest).await?;
-        self.replace_items(revision, items, sent_at).await;
+        let (items, cursor) = self.request_list(Freshness::Latest).await?;
+        self.replace_items(cursor, items, sent_at).await;
         Ok(())
     }
 
     /// Replaces all items by a list that was up to date at `proved_at`, and sends it to the peers.
-    async fn replace_items(&self, revision: u64, items: Vec<Item>, proved_at: Instant) {
-        log::info!("event=store state=listed items={} revision={revision}", items.len());
-        self.replica.replace(revision, items, proved_at, self.now());
+    async fn replace_items(&self, cursor: Cursor, items: Vec<Item>, proved_at: Instant) {
+        log::info!(
+            "event=store state=listed items={} epoch={} revision={}",
+            items.len(),
+            cursor.epoch,
+            cursor.revision
+        );
+        self.replica.replace(cursor, items, proved_at, self.now());
         self.send_update().await;
     }
 
-    /// Requests all items, and returns them with the revision after which changes may be missing in
+    /// Requests all items, and returns them with the position after which changes may be missing in
     /// them: the pages are read one after the other, and may be of different age.
-    async fn request_list(&self, freshness: Freshness) -> Result<(Vec<Item>, u64), Error> {
+    async fn request_list(&self, freshness: Freshness) -> Result<(Vec<Item>, Cursor), Error> {
         let mut items: Vec<Item> = Vec::new();
-        let mut oldest_revision = u64::MAX;
+        let mut oldest: Option<Cursor> = None;
         loop {
             let after = items.last().map(|item| item.key.clone());
             let path = store::list_path(after.as_deref(), freshness);
-            let (status, body) = self.get(&path, LIST_TIMEOUT).await?;
-            if status != StatusCode::OK {
-                return Err(Error::Status(status));
+            let answer = self.get(&path, LIST_TIMEOUT).await?;
+            if answer.status != StatusCode::OK {
+                return Err(Error::Status(answer.status));
             }
-            let page = Page::decode(&body)?;
-            oldest_revision = oldest_revision.min(page.revision);
+            let page = Page::decode(&answer.body)?;
+            let cursor = Cursor { epoch: answer.epoch, revision: page.revision };
+            let earlier = oldest.unwrap_or(cursor);
+            if earlier.epoch != cursor.epoch {
+                return Err(Error::Epoch(earlier.epoch, cursor.epoch));
+            }
+            let oldest = oldest.insert(earlier.min(cursor));
             let has_more = page.has_more && !page.items.is_empty();
             items.extend(page.items);
             if !has_more {
-                return Ok((items, oldest_revision));
+                return Ok((items, *oldest));
             }
         }
     }
@@ -275,11 +305,15 @@
     /// Waits for changes and applies them. Reads the whole list if the store's history does not
     /// reach back far enough.
     async fn watch(&self) -> Result<(), Error> {
-        let after = self.replica.revision();
+        let after = self.replica.cursor();
         let sent_at = self.now();
         let wait = replica::watch_wait(self.replica.proof_age(sent_at));
         let Some(changes) = self.request_changes(after, wait).await? else {
-            log::info!("event=store state=history_gone revision={after}");
+            log::info!(
+                "event=store state=history_gone epoch={} revision={}",
+                after.epoch,
+                after.revision
+            );
             if self.wait_for_peer_list(after).await {
                 return Ok(());
             }
@@ -290,7 +324,11 @@
         // the process was suspended before it read the answer.
         let proved_at = now.min(sent_at + wait + WATCH_ANSWER_TIMEOUT);
         let unchanged = changes.items.is_empty();
-        self.replica.apply(changes.revision, changes.items, proved_at, now);
+        let to = Cursor { revision: changes.revision, ..after };
+        if !self.replica.apply(to, changes.items, proved_at, now) {
+            // A peer has sent a later epoch meanwhile.
+            return Ok(());
+        }
         self.send_update().await;
         if !unchanged {
             tokio::time::sleep(BATCH_PAUSE).await;
@@ -300,10 +338,10 @@
         Ok(())
     }
 
-    /// Waits for a peer that sends a later revision than `after`. False if none does in time.
-    async fn wait_for_peer_list(&self, after: u64) -> bool {
+    /// Waits for a peer that sends a later state than `after`. False if none does in time.
+    async fn wait_for_peer_list(&self, after: Cursor) -> bool {
         let deadline = self.now() + replica::peer_list_wait(self.rank());
-        while self.replica.revision() <= after {
+        while self.replica.cursor() <= after {
             if self.now() >= deadline {
                 return false;
             }
@@ -319,22 +357,29 @@
         }
     }
 
-    /// Requests the changes after the revision `after`, and waits for them up to `wait`. `None` if
-    /// the store's history no longer has all of them.
-    async fn request_changes(&self, after: u64, wait: Duration) -> Result<Option<Changes>, Error> {
-        let (status, body) =
-            self.get(&store::watch_path(after, wait), wait + WATCH_ANSWER_TIMEOUT).await?;
-        if status.as_u16() == store::HISTORY_GONE {
+    /// Requests the changes after `after`, and waits for them up to `wait`. `None` if the store's
+    /// history no longer has all of them, or if the store has begun another epoch.
+    async fn request_changes(
+        &self,
+        after: Cursor,
+        wait: Duration,
+    ) -> Result<Option<Changes>, Error> {
+        let path = store::watch_path(after.revision, wait);
+        let answer = self.get(&path, wait + WATCH_ANSWER_TIMEOUT).await?;
+        if answer.status.as_u16() == store::HISTORY_GONE {
             return Ok(None);
         }
-        if status != StatusCode::OK {
-            return Err(Error::Status(status));
+        if answer.status != StatusCode::OK {
+            return Err(Error::Status(answer.status));
+        }
+        if answer.epoch != after.epoch {
+            return Ok(None);
         }
-        Ok(Some(Changes::decode(&body)?))
+        Ok(Some(Changes::decode(&answer.body)?))
     }
 
     /// Sends a GET request to the store.
-    async fn get(&self, path: &str, timeout: Duration) -> Result<(StatusCode, Bytes), Error> {
+    async fn get(&self, path: &str, timeout: Duration) -> Result<Answer, Error> {
         self.metrics.store_calls.inc();
         let request = Request::get(path)
             .header(http::header::HOST, self.address.to_string())
@@ -343,7 +388,8 @@
             .client
             .exchange(self.address, request, timeout, MAX_ANSWER_BYTES, |_| true)
             .await?;
-        Ok((response.status(), response.into_body()))
+        let epoch = epoch(response.headers());
+        Ok(Answer { status: response.status(), epoch, body: response.into_body() })
     }
 
     /// The rank of this entry as a store reader, from 0. `None` until it has had time to receive
@@ -360,3 +406,14 @@
         self.dispatcher.clock().now()
     }
 }
+
+/// The epoch that an answer of the store names; 0 if it names none.
+fn epoch(headers: &HeaderMap) -> u64 {
+    let Some(text) = headers::text(headers, &HeaderName::from_static(store::EPOCH)) else {
+        return 0;
+    };
+    store::parse_epoch(text).unwrap_or_else(|| {
+        log::warn!("event=store field={} error=\"cannot read {text:?}\"", store::EPOCH);
+        0
+    })
+}
--- a/crates/daemon/src/gateway/store_replica.rs
+++ b/crates/daemon/src/gateway/store_replica.rs
@@ -5,6 +5,7 @@
 
 use super::Dispatcher;
 use jackdawpin_core::direct::fleet;
+use jackdawpin_core::direct::replica::Cursor;
 use jackdawpin_core::direct::replica::Delta;
 use jackdawpin_core::direct::replica::Item;
 use jackdawpin_core::direct::replica::MergeResult;
@@ -19,6 +20,17 @@
 /// that are removed after that may have expired only because the store could not be reached.
 const OUTAGE_PROOF_AGE: Duration = Duration::from_millis(2_500);
 
+/// Why items have changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// They were written or removed, or expired, while the store was available.
+    Change,
+    /// They changed while the store may have been unavailable.
+    Outage,
+    /// The store was restored from an older copy.
+    Restoration,
+}
+
 /// The items of the store, and the dispatcher that they configure.
 #[derive(Debug)]
 pub(super) struct StoreReplica {
@@ -28,12 +40,12 @@
 
 impl StoreReplica {
     pub(super) fn new(dispatcher: Arc<Dispatcher>) -> Self {
-        Self { dispatcher, replica: Mutex::new(Rank::Intent, Replica::default()) }
+        Self { dispatcher, replica: Mutex::new(Rank::Intent, Replica::new(store::is_later_config)) }
     }
 
-    /// The revision of the replica; 0 if it is empty.
-    pub(super) fn revision(&self) -> u64 {
-        self.replica.lock().revision()
+    /// The position of the replica.
+    pub(super) fn cursor(&self) -> Cursor {
+        self.replica.lock().cursor()
     }
 
     /// Age of the last freshness proof, if there is one.
@@ -46,8 +58,8 @@
         self.replica.lock().peer_proof_age(now)
     }
 
-    /// The changes since the revision `from`, or all items if not all changes are known.
-    pub(super) fn changes_since(&self, from: u64, now: Instant) -> Delta {
+    /// The changes since `from`, or all items if not all changes are known.
+    pub(super) fn changes_since(&self, from: Cursor, now: Instant) -> Delta {
         self.replica.lock().changes_since(from, now)
     }
 
@@ -57,63 +69,91 @@
         self.replica.lock().discard_proofs();
     }
 
-    /// Replaces all items by a list, read at `revision` and later. `proved_at` is when it was up to
+    /// Replaces all items by a list, read at `cursor` and later. `proved_at` is when it was up to
     /// date.
     pub(super) fn replace(
         &self,
-        revision: u64,
+        cursor: Cursor,
         items: Vec<Item>,
         proved_at: Instant,
         now: Instant,
     ) {
-        let (changed, outage) =
-            self.update(now, |replica| replica.replace(revision, items, proved_at));
-        self.apply_items(&changed, outage, now);
-    }
-
-    /// Applies changes that the store reports up to the revision `to`. `proved_at` is when they
-    /// were up to date.
-    pub(super) fn apply(&self, to: u64, items: Vec<Item>, proved_at: Instant, now: Instant) {
-        let (changed, outage) = self.update(now, |replica| replica.apply(to, items, proved_at));
-        self.apply_items(&changed, outage, now);
+        self.update(now, |replica| replica.replace(cursor, items, proved_at));
     }
 
-    /// Merges the proof of a peer, which is `age` old, that the store's revision is `to`. False if
-    /// changes up to `to` are missing here.
-    pub(super) fn confirm(&self, to: u64, age: Duration, now: Instant) -> bool {
-        self.update(now, |replica| replica.confirm(to, age, now)).0
+    /// Applies changes that the store reports up to `to`. `proved_at` is when they were up to date.
+    /// False if they do not follow what is known here.
+    pub(super) fn apply(
+        &self,
+        to: Cursor,
+        items: Vec<Item>,
+        proved_at: Instant,
+        now: Instant,
+    ) -> bool {
+        self.update(now, |replica| replica.apply(to, items, proved_at))
     }
 
     /// Merges the changes that a peer sent. False if changes before them are missing here.
     pub(super) fn merge(&self, delta: Delta, now: Instant) -> bool {
-        match self.update(now, |replica| replica.merge(delta, now)) {
-            (MergeResult::Changed(changed), outage) => {
-                self.apply_items(&changed, outage, now);
-                true
-            }
-            (MergeResult::Gap, _) => false,
-        }
+        self.update(now, |replica| replica.merge(delta, now))
     }
 
-    /// Runs `update` on the replica, and passes the last freshness proof on to the dispatcher. The
-    /// second result says whether the store counted as unavailable before.
-    fn update<T>(&self, now: Instant, update: impl FnOnce(&mut Replica) -> T) -> (T, bool) {
-        let (result, outage, age) = {
+    /// Merges the proof of a peer, which is `age` old, that the store's position is `to`. False if
+    /// changes up to `to` are missing here.
+    pub(super) fn confirm(&self, to: Cursor, age: Duration, now: Instant) -> bool {
+        let (confirmed, proof_age) = {
+            let mut replica = self.replica.lock();
+            (replica.confirm(to, age, now), replica.proof_age(now))
+        };
+        self.record_proof(proof_age, now);
+        confirmed
+    }
+
+    /// Runs `update` on the replica, applies the items that it changes to the dispatcher, and passes
+    /// the last freshness proof on to it. False if earlier changes are missing.
+    fn update(&self, now: Instant, update: impl FnOnce(&mut Replica) -> MergeResult) -> bool {
+        let (result, outage, before, after, proof_age) = {
             let mut replica = self.replica.lock();
             let outage = replica.proof_age(now).is_none_or(|age| age > OUTAGE_PROOF_AGE);
-            (update(&mut replica), outage, replica.proof_age(now))
+            let before = replica.cursor();
+            let result = update(&mut replica);
+            (result, outage, before, replica.cursor(), replica.proof_age(now))
         };
-        if let Some(age) = age {
+        let merged = match result {
+            MergeResult::Changed(items) => {
+                self.apply_items(&items, if outage { Cause::Outage } else { Cause::Change }, now);
+                true
+            }
+            MergeResult::Restored(items) => {
+                log::warn!(
+                    "event=store state=restored epoch={} revision={} old_epoch={} \
+                     old_revision={} differing_items={}",
+                    after.epoch,
+                    after.revision,
+                    before.epoch,
+                    before.revision,
+                    items.len()
+                );
+                self.apply_items(&items, Cause::Restoration, now);
+                true
+            }
+            MergeResult::Gap => false,
+        };
+        self.record_proof(proof_age, now);
+        merged
+    }
+
+    fn record_proof(&self, proof_age: Option<Duration>, now: Instant) {
+        if let Some(age) = proof_age {
             self.dispatcher.record_proof(now.before(age));
         }
-        (result, outage)
     }
 
     /// Applies changed items to the dispatcher. A server with an invalid item counts as not listed.
-    fn apply_items(&self, changed: &[Item], outage: bool, now: Instant) {
+    fn apply_items(&self, changed: &[Item], cause: Cause, now: Instant) {
         for item in changed {
             match store::decode_item(item) {
-                Ok(record) => self.apply_record(record, item.revision, outage, now),
+                Ok(record) => self.apply_record(record, item.revision, cause, now),
                 Err(err) => {
                     log::warn!(
                         "event=store_item key={} revision={} error=\"{err}\"",
@@ -128,9 +168,9 @@
         }
     }
 
-    /// Applies one decoded item. After an outage of the store, servers without an item are kept
-    /// longer.
-    fn apply_record(&self, record: Record<'_>, revision: u64, outage: bool, now: Instant) {
+    /// Applies one decoded item. After an outage or a restoration of the store, servers without an
+    /// item are kept longer.
+    fn apply_record(&self, record: Record<'_>, revision: u64, cause: Cause, now: Instant) {
         match record {
             Record::Server(server) => {
                 log::debug!(
@@ -140,12 +180,17 @@
                     server.address,
                     server.draining
                 );
-                self.dispatcher.fleet.update(server, now);
+                match cause {
+                    Cause::Change | Cause::Outage => self.dispatcher.fleet.update(server, now),
+                    Cause::Restoration => self.dispatcher.fleet.restore(server, now),
+                }
             }
             Record::ServerRemoved(server) => {
                 log::info!("event=server server={server} state=gone revision={revision}");
-                let grace =
-                    if outage { fleet::EXPIRY_GRACE_AFTER_OUTAGE } else { fleet::EXPIRY_GRACE };
+                let grace = match cause {
+                    Cause::Change => fleet::EXPIRY_GRACE,
+                    Cause::Outage | Cause::Restoration => fleet::EXPIRY_GRACE_AFTER_OUTAGE,
+                };
                 self.dispatcher.fleet.unlist(server, grace, now);
             }
             Record::Config(config) => {
@@ -164,7 +209,11 @@
             }
             Record::DomainOut(domain, out) => {
                 log::info!("event=domain domain={domain} out={out} revision={revision}");
-                self.dispatcher.fleet.set_domain_out(&domain, out);
+                if cause == Cause::Restoration && !out {
+                    self.dispatcher.fleet.restore_domain(&domain, now);
+                } else {
+                    self.dispatcher.fleet.set_domain_out(&domain, out);
+                }
             }
             Record::Unrelated => {}
         }
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -1,12 +1,16 @@
 //! Encoding and decoding of messages.
 
+use jackdawpin_wire::Delta;
 use jackdawpin_wire::DocumentVersion;
 use jackdawpin_wire::Error;
 use jackdawpin_wire::ForwardRequest;
 use jackdawpin_wire::Header;
+use jackdawpin_wire::Item;
+use jackdawpin_wire::RevisionNotice;
 use jackdawpin_wire::Stamp;
 use jackdawpin_wire::decode;
 use jackdawpin_wire::encode;
+use jackdawpin_wire::encode_compact;
 
 /// Guards against a message that cannot be decoded from its own encoding, and against copies of the
 /// body.
@@ -27,6 +31,26 @@
     assert_eq!(decode::<ForwardRequest<'_>>(&bytes).expect("a message"), forward);
 }
 
+/// Guards against entries that cannot read each other's updates during an upgrade: entries of an
+/// earlier version know no epochs.
+#[test]
+fn updates_without_epoch() {
+    let notice = RevisionNotice { to: 9, age_ms: 20, epoch: 0 };
+    let bytes = encode_compact(&notice).expect("the message has an encoding");
+    assert_eq!(decode::<(u64, u64)>(&bytes).expect("the fields of the earlier version"), (9, 20));
+    assert_eq!(decode::<RevisionNotice>(&bytes).expect("a message"), notice);
+
+    let delta = Delta { from: 3, to: 9, age_ms: 20, items: Vec::new(), epoch: 0 };
+    let bytes = encode_compact(&delta).expect("the message has an encoding");
+    let fields = decode::<(u64, u64, u64, Vec<Item>)>(&bytes);
+    assert_eq!(fields.expect("the fields of the earlier version"), (3, 9, 20, Vec::new()));
+    assert_eq!(decode::<Delta>(&bytes).expect("a message"), delta);
+
+    let delta = Delta { epoch: 2, ..delta };
+    let bytes = encode_compact(&delta).expect("the message has an encoding");
+    assert_eq!(decode::<Delta>(&bytes).expect("a message"), delta);
+}
+
 /// Guards against accepting a truncated message, or a message followed by other bytes.
 #[test]
 fn truncated_and_trailing_bytes() {
