Count and log each answer of the entry itself with its reason

An answer that the entry makes itself was in the log only for some statuses and in no metric by reason, and no line told which configuration had decided and how old its freshness proof was. A denied request could not be traced to its cause.

The counters jackdawpin_own_answers_total have the label reason, a fixed word. They include the answers that the parser makes before the service has the request. The log lines name status, reason, host, path, the version of the configuration and the age of the last proof, within the limit on lines that all requests share. Refused heads and bodies now count as refused requests, too.

--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -194,6 +194,11 @@
         *proved_at = at.max(*proved_at);
     }
 
+    /// Age of the last freshness proof; the age of this process if there is none.
+    pub fn proof_age(&self, now: Instant) -> Duration {
+        now.since(*self.proved_at.lock())
+    }
+
     /// Whether this entry is cut off from the platform's store and from all its peers. With contact
     /// to either of them it learns of changes, or knows that there are none.
     pub fn is_fenced(&self, now: Instant) -> bool {
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -19,8 +19,9 @@
 
 use super::Dispatcher;
 use super::answer::status;
+use super::own_answer::OwnAnswer;
+use super::own_answer::Reason;
 use super::request_log::RequestLog;
-use crate::exchange::upload;
 use crate::exchange::upload::Upload;
 use crate::headers;
 use crate::listen::BufferBudget;
@@ -103,23 +104,23 @@
             Ok(body) => body,
             Err(err) => {
                 discard_rest(&mut body).await;
-                return body_error_response(&parts, &err);
+                return self.refuse(&parts, err.into());
             }
         };
-        let id = header_text(&parts, platform_http::REQUEST_ID).unwrap_or_default();
         if self
             .dispatcher
             .config()
             .is_some_and(|config| head_bytes(&parts) > config.limits.head_bytes)
         {
-            log::warn!("event=request id={id} outcome=refused reason=\"the head is too large\"");
-            return status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+            return self.refuse(&parts, Reason::LargeHead);
         }
         let route = match self.route(host(&parts), parts.uri.path()).await {
             Ok(route) => route,
             Err(refusal) => {
-                self.request_log.refuse_unrouted(id, refusal);
-                return refusal_response(refusal, Some(UNROUTED_RETRY_AFTER));
+                let response = refusal_response(refusal, Some(UNROUTED_RETRY_AFTER));
+                let reason = Reason::Unrouted(refusal);
+                self.request_log.refuse(&self.own_answer(&parts, reason, response.status()));
+                return response;
             }
         };
         let content = content(&parts, body);
@@ -142,22 +143,22 @@
     ) -> Response<Full<Bytes>> {
         let config = self.dispatcher.config();
         if config.as_ref().is_some_and(|config| head_bytes(&parts) > config.limits.head_bytes) {
-            return self
-                .refuse_upload(&parts, body, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
-                .await;
+            return self.refuse_upload(&parts, body, Reason::LargeHead).await;
         }
         let limit = config.map_or(DEFAULT_BODY_BYTES, |config| config.limits.body_bytes);
         let upload = match Upload::new(body, limit) {
             Ok(upload) => upload,
             Err((_, body)) => {
-                return self.refuse_upload(&parts, body, StatusCode::PAYLOAD_TOO_LARGE).await;
+                return self.refuse_upload(&parts, body, Reason::LargeBody).await;
             }
         };
         let content = content(&parts, Bytes::new());
         let completion = self.dispatch(&parts, route, received, &content, Some(&upload)).await;
         let response = match upload.error() {
             Some(err) if !matches!(completion.outcome, Outcome::Answered(_)) => {
-                upload_error_response(&parts, err)
+                let reason = Reason::from(err);
+                self.request_log.cut_upload(&self.own_answer(&parts, reason, reason.status()));
+                status(reason.status())
             }
             _ => completion_response(completion),
         };
@@ -170,12 +171,34 @@
         &self,
         parts: &Parts,
         mut body: Incoming,
-        code: StatusCode,
+        reason: Reason,
     ) -> Response<Full<Bytes>> {
-        let id = header_text(parts, platform_http::REQUEST_ID).unwrap_or_default();
-        log::warn!("event=request id={id} outcome=refused reason=\"{code}\"");
         discard_rest(&mut body).await;
-        status(code)
+        self.refuse(parts, reason)
+    }
+
+    /// Counts and logs a request whose head or body is not accepted, and returns the response.
+    fn refuse(&self, parts: &Parts, reason: Reason) -> Response<Full<Bytes>> {
+        self.request_log.refuse(&self.own_answer(parts, reason, reason.status()));
+        status(reason.status())
+    }
+
+    /// Describes an answer of the entry itself, as it is decided now.
+    fn own_answer<'a>(
+        &self,
+        parts: &'a Parts,
+        reason: Reason,
+        status: StatusCode,
+    ) -> OwnAnswer<'a> {
+        OwnAnswer {
+            id: header_text(parts, platform_http::REQUEST_ID).unwrap_or_default(),
+            host: host(parts),
+            path: parts.uri.path(),
+            status,
+            reason,
+            config_version: self.dispatcher.config().map_or(0, |config| config.version),
+            proof_age: self.dispatcher.proof_age(self.dispatcher.clock().now()),
+        }
     }
 
     /// Has the dispatcher serve a request, and logs its end.
@@ -238,29 +261,6 @@
     let _ = tokio::time::timeout(UPLOAD_REST_TIME, discarding).await;
 }
 
-/// Logs that the body of a request could not be read, and returns the response.
-fn body_error_response(parts: &Parts, err: &body::Error) -> Response<Full<Bytes>> {
-    let id = header_text(parts, platform_http::REQUEST_ID).unwrap_or_default();
-    log::warn!("event=request id={id} outcome=refused reason=\"{err}\"");
-    status(match err {
-        body::Error::Large(_) => StatusCode::PAYLOAD_TOO_LARGE,
-        body::Error::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
-        body::Error::Budget => StatusCode::SERVICE_UNAVAILABLE,
-        body::Error::Broken => StatusCode::BAD_REQUEST,
-    })
-}
-
-/// Logs that the body of an upload could not be passed on to its end, and returns the response.
-fn upload_error_response(parts: &Parts, err: upload::Error) -> Response<Full<Bytes>> {
-    let id = header_text(parts, platform_http::REQUEST_ID).unwrap_or_default();
-    log::warn!("event=request id={id} outcome=unknown reason=\"{err}\"");
-    status(match err {
-        upload::Error::Large(_) => StatusCode::PAYLOAD_TOO_LARGE,
-        upload::Error::Broken => StatusCode::BAD_REQUEST,
-        upload::Error::Taken => StatusCode::BAD_GATEWAY,
-    })
-}
-
 /// The host that a request names; empty if there is none.
 fn host(parts: &Parts) -> &str {
     headers::text(&parts.headers, &http::header::HOST).unwrap_or_default()
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -4,11 +4,15 @@
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
 use super::Dispatcher;
+use super::own_answer::Reason;
+use super::own_answer::ReasonLabels;
+use crate::listen::Counters;
 use jackdawpin_core::port::Clock;
 
 /// Upper bounds of the latency buckets in seconds.
@@ -23,6 +27,7 @@
     pub(super) refused: Counter,
     pub(super) unknown: Counter,
     pub(super) abandoned: Counter,
+    own_answers: Family<ReasonLabels, Counter>,
     pub(super) in_flight: Gauge,
     pub(super) latency: Histogram,
     pub(super) store_calls: Counter,
@@ -44,6 +49,7 @@
             refused: Counter::default(),
             unknown: Counter::default(),
             abandoned: Counter::default(),
+            own_answers: Family::default(),
             in_flight: Gauge::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             store_calls: Counter::default(),
@@ -86,6 +92,11 @@
         gauge("servers_usable", "servers that may receive work", &self.servers_usable);
         gauge("entries", "live entries, this one included", &self.entries);
         gauge("config_version", "version of the configuration in force", &self.config_version);
+        registry.register(
+            "own_answers",
+            "answers of the entry itself before a server answered, by reason",
+            self.own_answers.clone(),
+        );
         registry.register(
             "latency_seconds",
             "time from a request to its end",
@@ -94,6 +105,23 @@
         self
     }
 
+    /// Counts an answer of the entry itself.
+    pub(super) fn count_own_answer(&self, reason: Reason) {
+        self.own_answers.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
+    /// The counters of the listener for callers. Answers that the listener gives before a request
+    /// reaches its service are among the entry's own ones.
+    pub(super) fn caller_counters(&self) -> Counters {
+        let counter = |reason| self.own_answers.get_or_create(&ReasonLabels { reason }).clone();
+        Counters {
+            malformed: counter(Reason::InvalidHead),
+            large_heads: counter(Reason::LargeHeadAtParser),
+            refused: counter(Reason::Connections),
+            ..Counters::default()
+        }
+    }
+
     /// The text exposition, with the current values of `dispatcher`.
     ///
     /// # Errors
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -10,11 +10,11 @@
 use tokio::time::Instant;
 
 use super::metrics::Metrics;
+use super::own_answer::OwnAnswer;
 use jackdawpin_core::direct::dispatch::Completion;
 use jackdawpin_core::lock::Mutex;
 use jackdawpin_core::lock::Rank;
 use jackdawpin_core::outcome::Outcome;
-use jackdawpin_core::outcome::Refusal;
 
 /// Limit on the lines per second for requests with a server's answer. At 250 bytes per line this is
 /// 10 KB per second.
@@ -67,11 +67,22 @@
         ActiveRequest { request_log: self, id, route, started: Instant::now(), ended: false }
     }
 
-    /// Counts and logs a request that was refused because it has no route.
-    pub(super) fn refuse_unrouted(&self, id: &str, refusal: Refusal) {
+    /// Counts and logs a request that the entry refuses before the dispatcher serves it.
+    pub(super) fn refuse(&self, answer: &OwnAnswer<'_>) {
         self.metrics.refused.inc();
+        self.record_own_answer(answer, "refused");
+    }
+
+    /// Counts and logs an upload whose body could not be passed on. The dispatcher has counted how
+    /// it ended.
+    pub(super) fn cut_upload(&self, answer: &OwnAnswer<'_>) {
+        self.record_own_answer(answer, "unknown");
+    }
+
+    fn record_own_answer(&self, answer: &OwnAnswer<'_>, outcome: &str) {
+        self.metrics.count_own_answer(answer.reason);
         if self.count_line(false) {
-            log::warn!("event=request id={id} outcome=refused reason={refusal}");
+            log::warn!("event=request id={} outcome={outcome} {answer}", answer.id);
         }
     }
 
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -146,7 +146,10 @@
     };
     let request_log = Arc::new(RequestLog::new(metrics.clone()));
     let front = Front::new(dispatcher.clone(), body_budget, request_log);
-    let callers = spawn_listener(settings.callers_address, front, limits, &callers_stop)?;
+    let address = settings.callers_address;
+    let counters = metrics.caller_counters();
+    let callers = spawn_listener(address, front, (limits, counters), &callers_stop)?;
+    let limits = || (limits, Counters::default());
     let directory = || {
         Directory::new(
             dispatcher.clone(),
@@ -154,10 +157,10 @@
             settings.max_address_ttl,
         )
     };
-    spawn_listener(settings.directory_address, directory(), limits, &other_listeners_stop)?;
-    spawn_listener(settings.readiness_address, directory(), limits, &other_listeners_stop)?;
+    spawn_listener(settings.directory_address, directory(), limits(), &other_listeners_stop)?;
+    spawn_listener(settings.readiness_address, directory(), limits(), &other_listeners_stop)?;
     let control = Control::new(dispatcher.clone(), replica.clone(), metrics.clone());
-    spawn_listener(settings.control_address, control, limits, &other_listeners_stop)?;
+    spawn_listener(settings.control_address, control, limits(), &other_listeners_stop)?;
 
     let cancel = CancellationToken::new();
     tokio::spawn(gossip.clone().run(replica.clone(), cancel.clone()));
@@ -199,7 +202,7 @@
 fn spawn_listener<S>(
     address: SocketAddr,
     service: S,
-    limits: Limits,
+    (limits, counters): (Limits, Counters),
     stop: &CancellationToken,
 ) -> Result<JoinHandle<()>, Error>
 where
@@ -213,7 +216,6 @@
         + 'static,
 {
     let listener = listen::bind(address).map_err(|err| Error::Bind(address, err))?;
-    let serve =
-        listen::serve(listener, Arc::new(service), limits, Counters::default(), stop.clone());
+    let serve = listen::serve(listener, Arc::new(service), limits, counters, stop.clone());
     Ok(tokio::spawn(serve))
 }
--- a/crates/daemon/src/listen/accept.rs
+++ b/crates/daemon/src/listen/accept.rs
@@ -159,8 +159,13 @@
             let end = serve_connection(stream, context, &*service, &limits, &stop).await;
             match end {
                 ConnectionEnd::Closed => {}
-                ConnectionEnd::Invalid => {
+                ConnectionEnd::Malformed => {
                     counters.invalid.inc();
+                    counters.malformed.inc();
+                }
+                ConnectionEnd::LargeHead => {
+                    counters.invalid.inc();
+                    counters.large_heads.inc();
                 }
                 ConnectionEnd::Expired => {
                     counters.expired.inc();
--- a/crates/daemon/src/listen/connection.rs
+++ b/crates/daemon/src/listen/connection.rs
@@ -41,8 +41,10 @@
 pub(super) enum ConnectionEnd {
     /// Either side closed it between two exchanges, or the caller closed it during an exchange.
     Closed,
-    /// The bytes received were not a valid request, or its head was too large.
-    Invalid,
+    /// The bytes received were not a valid request.
+    Malformed,
+    /// The head of a request was above the limits of the listener.
+    LargeHead,
     /// It was closed at a timeout.
     Expired,
 }
@@ -167,7 +169,8 @@
 
 fn connection_end(result: Result<(), hyper::Error>) -> ConnectionEnd {
     match result {
-        Err(error) if error.is_parse() => ConnectionEnd::Invalid,
+        Err(error) if error.is_parse_too_large() => ConnectionEnd::LargeHead,
+        Err(error) if error.is_parse() => ConnectionEnd::Malformed,
         _ => ConnectionEnd::Closed,
     }
 }
--- a/crates/daemon/src/listen/counters.rs
+++ b/crates/daemon/src/listen/counters.rs
@@ -17,6 +17,10 @@
     /// Connections closed because the bytes received were not a valid request or its head was too
     /// large.
     pub invalid: Counter,
+    /// Those of the invalid ones whose bytes were not a valid request.
+    pub malformed: Counter,
+    /// Those of the invalid ones whose request had too large a head.
+    pub large_heads: Counter,
     /// Connections closed at the timeout of the head, of the response or of an idle connection.
     pub expired: Counter,
     /// Failed attempts to accept a connection.
