Answer 503 to large bodies before a configuration is in force

Callers got 413 for each body above 1 MiB from an entry that had just started and knew no configuration, whose limit may be much higher. A request is not repeated after 413; after 503 it is.

Such a body is now refused as not_ready, with a time after which to retry.

--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -104,7 +104,7 @@
             Ok(body) => body,
             Err(err) => {
                 discard_rest(&mut body).await;
-                return self.refuse(&parts, err.into());
+                return self.refuse(&parts, self.body_reason(err));
             }
         };
         if self
@@ -116,12 +116,7 @@
         }
         let route = match self.route(host(&parts), parts.uri.path()).await {
             Ok(route) => route,
-            Err(refusal) => {
-                let response = refusal_response(refusal, Some(UNROUTED_RETRY_AFTER));
-                let reason = Reason::Unrouted(refusal);
-                self.request_log.refuse(&self.own_answer(&parts, reason, response.status()));
-                return response;
-            }
+            Err(refusal) => return self.refuse(&parts, Reason::Unrouted(refusal)),
         };
         let content = content(&parts, body);
         completion_response(self.dispatch(&parts, &route, received, &content, None).await)
@@ -177,10 +172,25 @@
         self.refuse(parts, reason)
     }
 
-    /// Counts and logs a request whose head or body is not accepted, and returns the response.
+    /// Counts and logs a request that the entry refuses, and returns the response.
     fn refuse(&self, parts: &Parts, reason: Reason) -> Response<Full<Bytes>> {
-        self.request_log.refuse(&self.own_answer(parts, reason, reason.status()));
-        status(reason.status())
+        let response = match reason {
+            Reason::Unrouted(refusal) => refusal_response(refusal, Some(UNROUTED_RETRY_AFTER)),
+            _ => status(reason.status()),
+        };
+        self.request_log.refuse(&self.own_answer(parts, reason, response.status()));
+        response
+    }
+
+    /// Why a request is refused whose body could not be read. The configuration may allow a body that
+    /// is too large for an entry which has none.
+    fn body_reason(&self, err: body::Error) -> Reason {
+        match err {
+            body::Error::Large(_) if self.dispatcher.config().is_none() => {
+                Reason::Unrouted(Refusal::NotReady)
+            }
+            _ => err.into(),
+        }
     }
 
     /// Describes an answer of the entry itself, as it is decided now.
