Refuse by limits that were in force from the head to the end of a body

Callers got 431 if a configuration with a lower maxHeaderBytes came into force while their body arrived, because the head was checked after the body. They got 413 if a higher maxBodyBytes came into force before the body exceeded the old one.

Before the change, both cases of the new test failed (431 after the limit was lowered, 413 after it was raised). A head is now refused only if it is over the limits at its arrival and at the end of the body. A body that exceeds the limit of its arrival, but not the one in force, is refused as not_ready so that the caller retries; of an upload, a part was passed on, and its outcome decides the status.

--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -22,12 +22,14 @@
 use super::own_answer::OwnAnswer;
 use super::own_answer::Reason;
 use super::request_log::RequestLog;
+use crate::exchange::upload;
 use crate::exchange::upload::Upload;
 use crate::headers;
 use crate::listen::BufferBudget;
 use crate::listen::Context;
 use crate::listen::body;
 use jackdawpin_core::direct::config::Kind;
+use jackdawpin_core::direct::config::Limits;
 use jackdawpin_core::direct::config::Route;
 use jackdawpin_core::direct::dispatch::Call;
 use jackdawpin_core::direct::dispatch::Completion;
@@ -96,8 +98,8 @@
         if let Some(route) = self.upload_route(&parts) {
             return self.serve_upload(parts, body, &route, received).await;
         }
-        let limit =
-            self.dispatcher.config().map_or(DEFAULT_BODY_BYTES, |config| config.limits.body_bytes);
+        let limits = self.limits();
+        let limit = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
         // The body is read even for a request that is refused: a connection that is closed with
         // unread bytes is reset, and the caller could lose the answer.
         let body = match body::read(&mut body, limit, BODY_TIMEOUT, &self.budget).await {
@@ -107,11 +109,9 @@
                 return self.refuse(&parts, self.body_reason(err));
             }
         };
-        if self
-            .dispatcher
-            .config()
-            .is_some_and(|config| is_large_head(&parts, config.limits.head_bytes))
-        {
+        // The limits may have changed while the body arrived.
+        let is_over = |limits: Limits| is_large_head(&parts, limits.head_bytes);
+        if limits.is_some_and(is_over) && self.limits().is_some_and(is_over) {
             return self.refuse(&parts, Reason::LargeHead);
         }
         let route = match self.route(host(&parts), parts.uri.path()).await {
@@ -122,6 +122,17 @@
         completion_response(self.dispatch(&parts, &route, received, &content, None).await)
     }
 
+    /// The limits in force, if there is a configuration.
+    fn limits(&self) -> Option<Limits> {
+        self.dispatcher.config().map(|config| config.limits)
+    }
+
+    /// Whether the configuration may allow more than `limit` bytes in a body: it has been replaced by
+    /// one that does, or is not known.
+    fn may_allow_body_above(&self, limit: usize) -> bool {
+        self.limits().is_none_or(|limits| limits.body_bytes > limit)
+    }
+
     /// The route of a request whose body is passed on as it arrives. `None` for all other requests.
     fn upload_route(&self, parts: &Parts) -> Option<Arc<Route>> {
         let route = self.dispatcher.route(host(parts), parts.uri.path()).ok()?;
@@ -136,11 +147,11 @@
         route: &Route,
         received: Instant,
     ) -> Response<Full<Bytes>> {
-        let config = self.dispatcher.config();
-        if config.as_ref().is_some_and(|config| is_large_head(&parts, config.limits.head_bytes)) {
+        let limits = self.limits();
+        if limits.is_some_and(|limits| is_large_head(&parts, limits.head_bytes)) {
             return self.refuse_upload(&parts, body, Reason::LargeHead).await;
         }
-        let limit = config.map_or(DEFAULT_BODY_BYTES, |config| config.limits.body_bytes);
+        let limit = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
         let upload = match Upload::new(body, limit) {
             Ok(upload) => upload,
             Err((_, body)) => {
@@ -150,6 +161,10 @@
         let content = content(&parts, Bytes::new());
         let completion = self.dispatch(&parts, route, received, &content, Some(&upload)).await;
         let response = match upload.error() {
+            // A part of the body was passed on, so that the outcome tells whether it may have run.
+            Some(upload::Error::Large(limit)) if self.may_allow_body_above(limit) => {
+                completion_response(completion)
+            }
             Some(err) if !matches!(completion.outcome, Outcome::Answered(_)) => {
                 let reason = Reason::from(err);
                 self.request_log.cut_upload(&self.own_answer(&parts, reason, reason.status()));
@@ -182,11 +197,10 @@
         response
     }
 
-    /// Why a request is refused whose body could not be read. The configuration may allow a body that
-    /// is too large for an entry which has none.
+    /// Why a request is refused whose body could not be read.
     fn body_reason(&self, err: body::Error) -> Reason {
         match err {
-            body::Error::Large(_) if self.dispatcher.config().is_none() => {
+            body::Error::Large(limit) if self.may_allow_body_above(limit) => {
                 Reason::Unrouted(Refusal::NotReady)
             }
             _ => err.into(),
