Find hosts that callers name with a final dot, or by an IPv6 address

Callers got 404 if they named the host as a fully qualified name with a dot at its end, which resolves to the same name, and if the host was an IPv6 address without a port: all after the last colon was taken for a port, so that the address was cut.

Before the change, four cases of the new test failed with no route. A port now consists of digits, and the final dot is ignored in the names of callers and of the configuration.

--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -135,10 +135,11 @@
 
 impl Config {
     /// The route of a request: of the routes of `host`, the one with the longest prefix of `path`.
-    /// The port and the case of `host` are ignored.
+    /// The port and the case of `host` are ignored, and so is a dot at the end of its name.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let host = self.hosts.iter().find(|entry| entry.name.eq_ignore_ascii_case(host))?;
+        let name = host_name(host);
+        let mut hosts = self.hosts.iter();
+        let host = hosts.find(|entry| host_name(&entry.name).eq_ignore_ascii_case(name))?;
         host.routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
@@ -147,3 +148,14 @@
         self.services.iter().find(|service| service.name == *name)
     }
 }
+
+/// The name in `host`, without a port and without the dot at the end of a fully qualified name. An
+/// IPv6 address in brackets has colons that begin no port.
+fn host_name(host: &str) -> &str {
+    let is_port = |text: &str| text.bytes().all(|byte| byte.is_ascii_digit());
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if is_port(port) => name,
+        _ => host,
+    };
+    name.strip_suffix('.').unwrap_or(name)
+}
--- a/crates/core/tests/direct_config.rs
+++ b/crates/core/tests/direct_config.rs
@@ -31,6 +31,20 @@
     assert_eq!(config.route(host, path).map(|route| &*route.name), expected);
 }
 
+/// Guards against a host that a caller may name in more than one way, of which only one is found.
+#[rstest]
+#[case("a.example", "a.example.", Some("short"))]
+#[case("a.example", "A.example.:8080", Some("short"))]
+#[case("a.example.", "a.example", Some("short"))]
+#[case("[2001:db8::1]", "[2001:DB8::1]", Some("short"))]
+#[case("[2001:db8::1]", "[2001:db8::1]:8080", Some("short"))]
+#[case("a.example", "a.example..", None)]
+fn host_names(#[case] listed: &str, #[case] named: &str, #[case] expected: Option<&str>) {
+    let mut config = config(1, vec![named_route("short", "/a/")]);
+    config.hosts.iter_mut().for_each(|host| host.name = listed.into());
+    assert_eq!(config.route(named, "/a/x").map(|route| &*route.name), expected);
+}
+
 /// Guards against a split that is exact only over thousands of requests, or that favours a service
 /// because of its first position.
 #[rstest]
