Look servers of a service up by an index

Each probe, attempt and end of an attempt scanned the servers of the service for one name. A pool now keeps the position of each server by its name. Its servers stay in one vector in the order in which they were added, since random choices depend on that order.

A new test guards against positions that are not kept in step when a server is removed: without the shift after a removal it fails.

--- a/crates/core/src/direct/fleet/choice.rs
+++ b/crates/core/src/direct/fleet/choice.rs
@@ -14,12 +14,12 @@
 use super::Fleet;
 use super::Pick;
 use super::ServerNames;
+use super::pool::Pool;
 use super::score;
 use super::score::Observations;
 use super::server::InFlight;
 use super::server::Listing;
 use super::server::ServerState;
-use super::table::Pool;
 use super::table::ServerTable;
 use crate::name;
 use crate::port::Random;
@@ -94,7 +94,7 @@
         owned: &ServerNames,
         now: Instant,
     ) -> SmallVec<[Rating; 12]> {
-        let usable = || pool.servers.iter().filter(|state| table.usable(state, now));
+        let usable = || pool.servers().iter().filter(|state| table.usable(state, now));
         // Each competitor considers as many servers, so a part of them considers a given one.
         let share = considered.len() as f64 / usable().count().max(1) as f64;
         let competing_rate = criteria.competing_rate * share.min(1.0);
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod choice;
 mod curve;
+mod pool;
 mod queue;
 mod score;
 mod server;
@@ -18,6 +19,7 @@
 
 use smallvec::SmallVec;
 
+use self::pool::Pool;
 use self::server::Listing;
 use self::server::ServerState;
 use self::table::ServerTable;
@@ -182,7 +184,7 @@
             Some(state) => state.update(server, now),
             None => {
                 let score = rendezvous::score(server.name.as_str(), self.ip);
-                pool.servers.push(ServerState::new(server, score, now));
+                pool.add(ServerState::new(server, score, now));
             }
         }
     }
@@ -219,7 +221,7 @@
     /// Numbers of usable servers and of all servers.
     pub fn server_counts(&self, now: Instant) -> (usize, usize) {
         let table = self.table.lock();
-        let states = || table.pools.values().flat_map(|pool| &pool.servers);
+        let states = || table.pools.values().flat_map(Pool::servers);
         let usable = states().filter(|state| table.usable(state, now)).count();
         (usable, states().count())
     }
@@ -250,7 +252,8 @@
                 && (scope == Scope::All || state.server.domain == self.domain)
                 && !excluded.contains(&state.server.name)
         };
-        let mut found: SmallVec<[&ServerState; 32]> = pool.servers.iter().filter(wanted).collect();
+        let mut found: SmallVec<[&ServerState; 32]> =
+            pool.servers().iter().filter(wanted).collect();
         match scope {
             Scope::Preferred => keep_preferred(&mut found, PREFERRED_SERVERS),
             Scope::All => self.limit_other_domains(&mut found, count),
@@ -326,7 +329,7 @@
 
     fn cold_among(&self, service: &str, considered: &ServerNames, now: Instant) -> ServerDomains {
         let table = self.table.lock();
-        let servers = table.pools.get(service).map_or(&[][..], |pool| &pool.servers);
+        let servers = table.pools.get(service).map_or(&[][..], Pool::servers);
         let cold = |state: &&ServerState| {
             considered.contains(&state.server.name)
                 && state.fresh_report(now).is_some_and(|report| !report.cold_for.is_zero())
--- a/crates/core/src/direct/fleet/table.rs
+++ b/crates/core/src/direct/fleet/table.rs
@@ -6,8 +6,7 @@
 
 use super::AttemptEnd;
 use super::Pick;
-use super::curve::Curve;
-use super::queue::Queue;
+use super::pool::Pool;
 use super::server::Listing;
 use super::server::Load;
 use super::server::ServerState;
@@ -29,20 +28,6 @@
 /// Least slowdown in percent by which an answer time is divided.
 const MIN_LEARNING_SLOWDOWN: u32 = 20;
 
-/// The servers of a service, and what their answers have shown about all of them.
-#[derive(Debug, Default)]
-pub(super) struct Pool {
-    pub(super) servers: Vec<ServerState>,
-    pub(super) curve: Curve,
-    pub(super) queue: Queue,
-}
-
-impl Pool {
-    pub(super) fn server(&mut self, name: &str) -> Option<&mut ServerState> {
-        self.servers.iter_mut().find(|state| state.server.name.as_str() == name)
-    }
-}
-
 #[derive(Debug, Default)]
 pub(super) struct ServerTable {
     pub(super) pools: HashMap<name::Service, Pool>,
@@ -60,7 +45,7 @@
     pub(super) fn remove(&mut self, service: &name::Service, server: &name::Vm) {
         self.service_of.remove(server);
         if let Some(pool) = self.pools.get_mut(service) {
-            pool.servers.retain(|state| state.server.name != *server);
+            pool.remove(server);
         }
     }
 
@@ -70,11 +55,13 @@
             Listing::Listed => false,
             Listing::UsableUntil(end) => end < now && state.in_flight.is_empty(),
         };
-        for pool in self.pools.values_mut() {
-            for state in pool.servers.iter().filter(|state| expired(state)) {
-                self.service_of.remove(&state.server.name);
-            }
-            pool.servers.retain(|state| !expired(state));
+        let servers = self.pools.values().flat_map(Pool::servers);
+        let expired: Vec<_> = servers
+            .filter(|state| expired(state))
+            .map(|state| (state.server.service.clone(), state.server.name.clone()))
+            .collect();
+        for (service, name) in expired {
+            self.remove(&service, &name);
         }
     }
 
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -17,6 +17,7 @@
 use crate::direct_support::member;
 use crate::direct_support::ms;
 use crate::direct_support::server;
+use crate::direct_support::service;
 use crate::direct_support::vm;
 use jackdawpin_core::direct::fleet::AttemptEnd;
 use jackdawpin_core::direct::fleet::Choice;
@@ -177,6 +178,35 @@
     assert_eq!(picked_name(&choose(&fleet, at(2_501))), "s1", "its item was renewed");
 }
 
+/// Guards against a report of one server that counts for another after the removal of a server that
+/// was added before it, and against a removed server that is still chosen.
+#[rstest]
+#[case::unlisted_while_draining(|fleet: &Fleet| {
+    fleet.update(Server { draining: true, ..server(2, "a") }, at(5));
+    fleet.unlist("s2", EXPIRY_GRACE, at(5));
+})]
+#[case::expired(|fleet: &Fleet| {
+    fleet.unlist("s2", Duration::ZERO, at(5));
+    fleet.unlist("s2", Duration::ZERO, at(6));
+})]
+#[case::moved_to_another_service(|fleet: &Fleet| {
+    fleet.update(Server { service: service("other"), ..server(2, "a") }, at(5));
+})]
+fn reports_after_a_removal(#[case] remove: fn(&Fleet)) {
+    let fleet = fleet(&[1, 2, 3, 4].map(|number| server(number, "a")));
+    remove(&fleet);
+    let chosen = |number: u16| {
+        // The reports of the other servers are too old by then.
+        let now = at(u64::from(number) * 100);
+        record_report(&fleet, number, idle_report(), now);
+        picked_name(&choose(&fleet, now)).to_owned()
+    };
+    assert_eq!([1, 2, 3, 4].map(chosen), ["s1", "", "s3", "s4"]);
+    fleet.update(server(2, "a"), at(500));
+    record_report(&fleet, 2, idle_report(), at(510));
+    assert_eq!(picked_name(&choose(&fleet, at(510))), "s2", "it is listed again");
+}
+
 /// Guards against a server that restarted under its old name and that is still judged by what its
 /// previous process did.
 #[test]
