--- a/crates/core/src/direct/fleet/candidate.rs
+++ b/crates/core/src/direct/fleet/candidate.rs
@@ -70,9 +70,7 @@
         }
         let mut chosen = SmallVec::new();
         while chosen.len() < count && !found.is_empty() {
-            let bound = u64::try_from(found.len()).unwrap_or(u64::MAX);
-            let index = usize::try_from(random.below(bound)).unwrap_or(0);
-            let state = found.swap_remove(index);
+            let state = found.swap_remove(random.index(found.len()));
             chosen.push(Candidate {
                 server: state.server.name.clone(),
                 address: state.server.address,
--- a/crates/core/src/direct/peers/heartbeat.rs
+++ b/crates/core/src/direct/peers/heartbeat.rs
@@ -6,7 +6,6 @@
 use super::Member;
 use super::Peers;
 use super::SILENT_AFTER;
-use super::random_index;
 use super::table::MemberTable;
 use super::table::Peer;
 use crate::port::Random;
@@ -79,7 +78,7 @@
         table.update_liveness(now);
         let mut latest_first = table.random_live(true, SAME_DOMAIN_FANOUT, now, random);
         let to_other_domain =
-            random_index(random, table.same_domain(now).count() + 1) < OTHER_DOMAIN_SENDERS;
+            random.index(table.same_domain(now).count() + 1) < OTHER_DOMAIN_SENDERS;
         let own_domain_first = match to_other_domain {
             true => table.random_live(false, 1, now, random),
             false => Vec::new(),
@@ -160,7 +159,7 @@
             self.live(now).filter(matches).map(|peer| peer.member.ip).collect();
         let mut targets = Vec::with_capacity(count + 1);
         while targets.len() < count && !found.is_empty() {
-            targets.push(found.swap_remove(random_index(random, found.len())));
+            targets.push(found.swap_remove(random.index(found.len())));
         }
         targets
     }
@@ -171,6 +170,6 @@
         let known = self.peers.iter().map(|peer| peer.member.ip);
         let all = self.seeds.iter().copied().chain(known);
         let silent: Vec<Ipv4Addr> = all.filter(|ip| *ip != self.own.ip && !live(ip)).collect();
-        (!silent.is_empty()).then(|| silent[random_index(random, silent.len())])
+        (!silent.is_empty()).then(|| silent[random.index(silent.len())])
     }
 }
--- a/crates/core/src/direct/peers/live.rs
+++ b/crates/core/src/direct/peers/live.rs
@@ -5,7 +5,6 @@
 
 use super::Member;
 use super::Peers;
-use super::random_index;
 use super::table::MemberTable;
 use super::table::Peer;
 use crate::direct::rendezvous;
@@ -53,7 +52,7 @@
         let (same_domain, others): (Vec<&Peer>, Vec<&Peer>) =
             contacted.partition(|peer| peer.member.domain == table.own.domain);
         let candidates = if same_domain.is_empty() { others } else { same_domain };
-        let index = random_index(random, candidates.len());
+        let index = random.index(candidates.len());
         candidates.get(index).map(|peer| peer.member.ip)
     }
 
--- a/crates/core/src/direct/peers/mod.rs
+++ b/crates/core/src/direct/peers/mod.rs
@@ -20,7 +20,6 @@
 use crate::lock::Mutex;
 use crate::lock::Rank;
 use crate::name;
-use crate::port::Random;
 use crate::time::Instant;
 
 pub use self::heartbeat::HeartbeatResult;
@@ -101,8 +100,3 @@
         table.seeds.iter().copied().filter(|ip| *ip != table.own.ip).collect()
     }
 }
-
-fn random_index(random: &impl Random, len: usize) -> usize {
-    let bound = u64::try_from(len).unwrap_or(u64::MAX);
-    usize::try_from(random.below(bound)).unwrap_or(0)
-}
--- a/crates/core/src/direct/spread.rs
+++ b/crates/core/src/direct/spread.rs
@@ -40,8 +40,7 @@
     pub fn shuffled(&self, random: &impl Random) -> Vec<Ipv4Addr> {
         let mut entries = self.staying.clone();
         for last in (1..entries.len()).rev() {
-            let bound = u64::try_from(last).unwrap_or(u64::MAX).saturating_add(1);
-            entries.swap(last, usize::try_from(random.below(bound)).unwrap_or(0));
+            entries.swap(last, random.index(last + 1));
         }
         entries.extend(&self.leaving);
         entries
--- a/crates/core/src/holder/flow/vacancy.rs
+++ b/crates/core/src/holder/flow/vacancy.rs
@@ -49,7 +49,7 @@
         // Sorted by name, so that the shares of the pollers do not depend on the room of the peers.
         holders.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
         let share = holders.len().saturating_sub(number).div_ceil(VACANCY_POLLERS);
-        let index = self.ports.random().below(share as u64) as usize;
+        let index = self.ports.random().index(share);
         let free = match holders
             .get(number + index * VACANCY_POLLERS)
             .and_then(|holder| self.peer_entry(&holder.vm))
--- a/crates/core/src/port/mod.rs
+++ b/crates/core/src/port/mod.rs
@@ -24,4 +24,10 @@
 pub trait Random: Send + Sync + 'static {
     /// A uniformly distributed number in `0..bound`; 0 if `bound` is 0.
     fn below(&self, bound: u64) -> u64;
+
+    /// A uniformly distributed index of a slice of length `len`; 0 if `len` is 0.
+    fn index(&self, len: usize) -> usize {
+        let bound = u64::try_from(len).unwrap_or(u64::MAX);
+        usize::try_from(self.below(bound)).unwrap_or(0)
+    }
 }
