Share the stream that reports reads and writes

The counting of bytes and the time limits of connections each had a stream of their own with the same forwarding of reads and writes.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod run;
 pub mod settings;
 pub mod stop;
+pub mod stream;
 pub mod telemetry;
 pub mod traffic;
 pub mod upstream;
--- a/crates/daemon/src/listen/progress.rs
+++ b/crates/daemon/src/listen/progress.rs
@@ -1,21 +1,16 @@
 //! The phase of a connection's current exchange and the time of its last progress.
 
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering::Relaxed;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::time::Instant;
 
 use super::Limits;
+use crate::stream::ObservedStream;
+use crate::stream::Observer;
 
 /// Phase of an exchange.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -86,77 +81,26 @@
 }
 
 /// A stream that records its reads and writes in a [`Progress`].
-#[derive(Debug)]
-pub(super) struct ProgressStream<T> {
-    stream: T,
-    progress: Arc<Progress>,
-}
-
-impl<T> ProgressStream<T> {
-    pub(super) fn new(stream: T, progress: Arc<Progress>) -> Self {
-        Self { stream, progress }
-    }
+pub(super) type ProgressStream<T> = ObservedStream<T, Arc<Progress>>;
 
-    fn record_write(&self, result: &Poll<io::Result<usize>>) {
-        if let Poll::Ready(Ok(_)) = result
-            && self.progress.phase() == Phase::Response
-        {
-            self.progress.enter(Phase::Response);
+impl Observer for Arc<Progress> {
+    fn received(&self, _bytes: usize) {
+        if self.phase() == Phase::Idle {
+            self.enter(Phase::Head);
         }
     }
-}
 
-impl<T: AsyncRead + Unpin> AsyncRead for ProgressStream<T> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > before && self.progress.phase() == Phase::Idle {
-            self.progress.enter(Phase::Head);
+    fn sent(&self, _bytes: usize) {
+        if self.phase() == Phase::Response {
+            self.enter(Phase::Response);
         }
-        result
-    }
-}
-
-impl<T: AsyncWrite + Unpin> AsyncWrite for ProgressStream<T> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        self.record_write(&result);
-        result
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
-        self.record_write(&result);
-        result
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
     }
 
     /// Ends the response: hyper flushes only after it has written the whole response, because the
     /// body is a single buffer.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let result = Pin::new(&mut self.stream).poll_flush(cx);
-        if matches!(result, Poll::Ready(Ok(()))) && self.progress.phase() == Phase::Response {
-            self.progress.enter(Phase::Idle);
+    fn flushed(&self) {
+        if self.phase() == Phase::Response {
+            self.enter(Phase::Idle);
         }
-        result
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
