--- a/crates/core/src/direct/peers/heartbeat.rs
+++ b/crates/core/src/direct/peers/heartbeat.rs
@@ -11,7 +11,7 @@
 use crate::port::Random;
 use crate::time::Instant;
 
-/// Number of peers of the own failure domain that each heartbeat is sent to.
+/// Number of peers of its own failure domain that an entry sends each heartbeat to.
 const SAME_DOMAIN_FANOUT: usize = 5;
 
 /// Expected number of entries of a failure domain that send a heartbeat to another failure domain
@@ -44,10 +44,10 @@
 /// out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MemberOrder {
-    /// Roughly by the time of their last heartbeat, the latest first: for entries of the own
+    /// Roughly by the time of their last heartbeat, the latest first: for entries of the sender's
     /// failure domain and for entries that know few others.
     LatestFirst,
-    /// Members of the own failure domain first: for another failure domain, which gets few
+    /// Members of the sender's failure domain first: for another failure domain, which gets few
     /// heartbeats and knows its own members best.
     OwnDomainFirst,
 }
@@ -94,7 +94,7 @@
         Targets { latest_first, own_domain_first }
     }
 
-    /// The members that a heartbeat lists, at most [`MAX_MEMBERS`]: the own entry first, then live
+    /// The members that a heartbeat lists, at most [`MAX_MEMBERS`]: this entry first, then live
     /// peers in the given order.
     pub fn heartbeat_members(
         &self,
@@ -145,8 +145,8 @@
 }
 
 impl MemberTable {
-    /// Up to `count` random live peers: of the own failure domain if `same_domain`, else of the
-    /// others.
+    /// Up to `count` random live peers: of this entry's failure domain if `same_domain`, else of
+    /// the others.
     fn random_live(
         &self,
         same_domain: bool,
--- a/crates/core/src/direct/peers/live.rs
+++ b/crates/core/src/direct/peers/live.rs
@@ -14,7 +14,7 @@
 use crate::time::Instant;
 
 impl Peers {
-    /// The number of live entries, the own one included.
+    /// The number of live entries, this one included.
     pub fn live_count(&self, now: Instant) -> usize {
         1 + self.table.lock().live(now).count()
     }
@@ -25,25 +25,25 @@
         table.had_peers && table.live(now).next().is_none()
     }
 
-    /// The live entries, the own one included, whether they are leaving or not.
+    /// The live entries, this one included, whether they are leaving or not.
     pub fn live_entries(&self, now: Instant) -> Vec<Ipv4Addr> {
         let table = self.table.lock();
         std::iter::once(table.own.ip).chain(table.live(now).map(|peer| peer.member.ip)).collect()
     }
 
-    /// The rank of the own entry among the live ones for `key`, from 0.
+    /// The rank of this entry among the live ones for `key`, from 0.
     pub fn rank(&self, key: &str, now: Instant) -> usize {
         self.table.lock().rank(now, |member| rendezvous::score(key, member.ip))
     }
 
-    /// The rank of the own entry among the live ones for `server`, from 0. Entries of the server's
+    /// The rank of this entry among the live ones for `server`, from 0. Entries of the server's
     /// failure domain come first, since they probe it most.
     pub fn rank_for_server(&self, server: &str, domain: &str, now: Instant) -> usize {
         let score = |member: &Member| rendezvous::score(server, member.ip);
         self.table.lock().rank(now, |member| (member.domain.as_str() == domain, score(member)))
     }
 
-    /// A random live peer whose heartbeat came from itself, if possible one of the own failure
+    /// A random live peer whose heartbeat came from itself, if possible one of this entry's failure
     /// domain. An entry that has just started may still receive, from others, members that have
     /// ended.
     pub fn contacted_peer(&self, now: Instant, random: &impl Random) -> Option<Ipv4Addr> {
@@ -97,7 +97,7 @@
 }
 
 impl MemberTable {
-    /// How many live peers that are not leaving come before the own entry; the highest key comes
+    /// How many live peers that are not leaving come before this entry; the highest key comes
     /// first.
     fn rank<K: Ord>(&self, now: Instant, key: impl Fn(&Member) -> K) -> usize {
         let own = key(&self.own);
--- a/crates/core/src/direct/peers/mod.rs
+++ b/crates/core/src/direct/peers/mod.rs
@@ -60,7 +60,7 @@
 }
 
 impl Peers {
-    /// Creates a table with the own entry and the addresses of seeds.
+    /// Creates a table with the entry `own` and the addresses of seeds.
     pub fn new(own: Member, seeds: Vec<Ipv4Addr>) -> Self {
         let table = MemberTable {
             own,
@@ -77,12 +77,12 @@
         self.table.lock().seeds = seeds;
     }
 
-    /// Marks the own entry as leaving in further heartbeats.
+    /// Marks this entry as leaving in further heartbeats.
     pub fn leave(&self) {
         self.table.lock().own.leaving = true;
     }
 
-    /// Whether the own entry is leaving.
+    /// Whether this entry is leaving.
     pub fn is_leaving(&self) -> bool {
         self.table.lock().own.leaving
     }
@@ -94,7 +94,7 @@
         self.table.lock().assumed_live_until = now + SILENT_AFTER;
     }
 
-    /// The addresses of the seeds, without the own entry.
+    /// The addresses of the seeds, without this entry.
     pub fn seeds(&self) -> Vec<Ipv4Addr> {
         let table = self.table.lock();
         table.seeds.iter().copied().filter(|ip| *ip != table.own.ip).collect()
--- a/crates/core/src/direct/peers/table.rs
+++ b/crates/core/src/direct/peers/table.rs
@@ -36,7 +36,7 @@
             .filter(move |peer| assumed_live || now.since(peer.last_heard) < SILENT_AFTER)
     }
 
-    /// The live peers of the own failure domain.
+    /// The live peers of this entry's failure domain.
     pub(super) fn same_domain(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.live(now).filter(|peer| peer.member.domain == self.own.domain)
     }
@@ -64,7 +64,8 @@
     /// process of one, that was not known.
     pub(super) fn merge(&mut self, member: Member, from: Ipv4Addr, now: Instant) -> bool {
         if member.ip == self.own.ip {
-            // Peers still list the previous process of this VM: the own number must be higher.
+            // Peers still list the previous process of this VM: this process's number must be
+            // higher.
             if member.incarnation > self.own.incarnation {
                 self.own.incarnation = member.incarnation + 1;
             }
--- a/crates/core/tests/direct_spread.rs
+++ b/crates/core/tests/direct_spread.rs
@@ -129,7 +129,7 @@
 }
 
 /// Guards against a failure domain that gets updates through an entry that is leaving, and against
-/// entries of another domain that are taken for ones of the own.
+/// entries of another domain that are taken for ones of its own.
 #[test]
 fn groups_by_domain() {
     let entry = Peers::new(member(1, "a"), Vec::new());
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -446,7 +446,7 @@
     let target = target(0);
     let mut leases = Leases::new(vms[0].name.clone(), 1, at(0).before(PROMISE_DURATION));
     let batches = leases.begin_round(at(0), [(&target, &old)]);
-    assert_eq!(batches.len(), 6, "the own promise needs no message");
+    assert_eq!(batches.len(), 6, "the promise of the holder itself needs no message");
     for batch in &batches[..4] {
         assert_eq!(leases.valid_until(&target, at(10)), None);
         leases.record_grant(batch, batch.witness.as_str(), &[true]);
