Name orphaned attempts in full

The comments call an attempt orphaned when it ended without an answer while the server may still work on it; add_orphan did not say what is added.

--- a/crates/core/src/holder/pool/server.rs
+++ b/crates/core/src/holder/pool/server.rs
@@ -93,7 +93,7 @@
     /// Permits that were issued and not returned.
     in_flight: u32,
     /// When each orphaned attempt stops counting as in flight.
-    orphans: SmallVec<[Instant; 4]>,
+    orphaned_until: SmallVec<[Instant; 4]>,
     /// Until when the claim on the server is confirmed.
     claim: Option<Instant>,
     /// Whether the last change that [`Server::set_claim`] saw was to a confirmed claim.
@@ -107,7 +107,7 @@
             spec: spec.clone(),
             limit: Limit::new(limit_policy(&spec.policy)),
             in_flight: 0,
-            orphans: SmallVec::new(),
+            orphaned_until: SmallVec::new(),
             claim: None,
             confirmed: false,
         }
@@ -194,7 +194,7 @@
 
     /// Number of requests in flight at `now`, including orphaned attempts.
     pub(super) fn total_in_flight(&self, now: Instant) -> u32 {
-        let orphans = self.orphans.iter().filter(|until| now < **until).count();
+        let orphans = self.orphaned_until.iter().filter(|until| now < **until).count();
         self.in_flight + u32::try_from(orphans).unwrap_or(u32::MAX)
     }
 
@@ -223,14 +223,14 @@
     }
 
     /// Counts an attempt that the server may still be working on.
-    pub(super) fn add_orphan(&mut self, now: Instant) {
-        self.orphans.retain(|until| now < *until);
-        self.orphans.push(now + ORPHAN_TIMEOUT);
+    pub(super) fn add_orphaned_attempt(&mut self, now: Instant) {
+        self.orphaned_until.retain(|until| now < *until);
+        self.orphaned_until.push(now + ORPHAN_TIMEOUT);
     }
 
     /// Forgets orphaned attempts, because the server reported that it is running nothing.
-    pub(super) fn clear_orphans(&mut self) {
-        self.orphans.clear();
+    pub(super) fn clear_orphaned_attempts(&mut self) {
+        self.orphaned_until.clear();
     }
 
     /// Sets the time until which the claim is confirmed, if any. If this changes whether a server
--- a/crates/core/src/holder/pool/state.rs
+++ b/crates/core/src/holder/pool/state.rs
@@ -154,11 +154,11 @@
         let server = self.server_of(&permit)?;
         server.release();
         if matches!(sample.result, AttemptResult::Broken | AttemptResult::Timeout) {
-            server.add_orphan(now);
+            server.add_orphaned_attempt(now);
         }
         let change = server.observe(now, sample);
         if sample.report.is_some_and(|report| report.in_flight == 0) {
-            server.clear_orphans();
+            server.clear_orphaned_attempts();
         }
         let change = change.map(|change| ServerChange { vm: permit.vm, change });
         self.assign_free(now);
@@ -168,7 +168,7 @@
     pub(super) fn abandon(&mut self, now: Instant, permit: Permit) {
         if let Some(server) = self.server_of(&permit) {
             server.release();
-            server.add_orphan(now);
+            server.add_orphaned_attempt(now);
         }
     }
 
