--- a/crates/daemon/src/control/peer.rs
+++ b/crates/daemon/src/control/peer.rs
@@ -29,7 +29,7 @@
 type Answer = Result<Response<Full<Bytes>>, Error>;
 
 impl<O: Ports> Handler<O> {
-    /// Answers a heartbeat with the own one.
+    /// Answers a heartbeat with that of this entry.
     pub(super) fn heartbeat(&self, bytes: &[u8]) -> Answer {
         let received: wire::Heartbeat = wire::decode(bytes)?;
         let own = self.control.answer_heartbeat(convert::heartbeat_from_wire(&received)?);
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -55,8 +55,11 @@
             return not_sent();
         };
         let max_body_bytes = usize::try_from(attempt.answer_limit).unwrap_or(usize::MAX);
-        let is_own_answer = |fields: &HeaderMap| is_answer_to(&attempt, fields);
-        match self.client.exchange(address, request, remaining, max_body_bytes, is_own_answer).await
+        let answers_attempt = |fields: &HeaderMap| is_answer_to(&attempt, fields);
+        match self
+            .client
+            .exchange(address, request, remaining, max_body_bytes, answers_attempt)
+            .await
         {
             Ok(response) => read_reply(&attempt, response),
             Err(err) => {
