--- a/crates/core/src/direct/fleet/table.rs
+++ b/crates/core/src/direct/fleet/table.rs
@@ -7,8 +7,7 @@
 
 use super::AttemptEnd;
 use super::Pick;
-use super::curve::Curve;
-use super::queue::Queue;
+use super::pool::Pool;
 use super::restored::Departure;
 use super::server::Listing;
 use super::server::Load;
@@ -33,20 +32,6 @@
 /// Least slowdown in percent by which an answer time is divided.
 const MIN_LEARNING_SLOWDOWN: u32 = 20;
 
-/// The servers of a service, and what their answers have shown about all of them.
-#[derive(Debug, Default)]
-pub(super) struct Pool {
-    pub(super) servers: Vec<ServerState>,
-    pub(super) curve: Curve,
-    pub(super) queue: Queue,
-}
-
-impl Pool {
-    pub(super) fn server(&mut self, name: &str) -> Option<&mut ServerState> {
-        self.servers.iter_mut().find(|state| state.server.name.as_str() == name)
-    }
-}
-
 #[derive(Debug, Default)]
 pub(super) struct ServerTable {
     pub(super) pools: HashMap<name::Service, Pool>,
@@ -67,7 +52,7 @@
     pub(super) fn remove(&mut self, service: &name::Service, server: &name::Vm) {
         self.service_of.remove(server);
         if let Some(pool) = self.pools.get_mut(service) {
-            pool.servers.retain(|state| state.server.name != *server);
+            pool.remove(server);
         }
     }
 
@@ -89,7 +74,7 @@
             Some(state) => state.update(server, now),
             None => {
                 let score = rendezvous::score(name.as_str(), ip);
-                pool.servers.push(ServerState::new(server, score, now));
+                pool.add(ServerState::new(server, score, now));
             }
         }
         pool.server(name.as_str())
@@ -101,15 +86,12 @@
             Listing::Listed | Listing::UsableFrom(_) => false,
             Listing::UsableUntil(end) => end < now && state.in_flight.is_empty(),
         };
-        let mut departed: Vec<Server> = Vec::new();
-        for pool in self.pools.values_mut() {
-            let servers = pool.servers.iter().filter(|state| expired(state));
-            departed.extend(servers.map(|state| state.server.clone()));
-            pool.servers.retain(|state| !expired(state));
-        }
-        for server in departed {
-            self.service_of.remove(&server.name);
+        let servers = self.pools.values().flat_map(Pool::servers);
+        let expired: Vec<Server> =
+            servers.filter(|state| expired(state)).map(|state| state.server.clone()).collect();
+        for server in expired {
             self.record_departure(&server, now);
+            self.remove(&server.service, &server.name);
         }
     }
 
--- a/crates/daemon/src/gateway/own_answer.rs
+++ b/crates/daemon/src/gateway/own_answer.rs
@@ -104,20 +104,21 @@
     pub(super) reason: Reason,
     /// Version of the configuration that decided, 0 if there was none.
     pub(super) config_version: u64,
-    pub(super) proof_age: Duration,
+    /// Age of the proof that this configuration is the latest one; `None` if there is none.
+    pub(super) proof_age: Option<Duration>,
 }
 
 impl fmt::Display for OwnAnswer<'_> {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "status={} reason={} host={:?} path={:?} config={:08x} proof_age_ms={}",
+            "status={} reason={} host={:?} path={:?} config={:08x} proof_age_ms={:?}",
             self.status.as_u16(),
             self.reason,
             prefix(self.host),
             prefix(self.path),
             self.config_version,
-            self.proof_age.as_millis(),
+            self.proof_age.map(|age| age.as_millis()),
         )
     }
 }
