Let large answers of the store and of peers arrive as long as they go on

What callers saw: proper requests denied (404) and routes of older configurations, for 20 s, by all entries with a link of 10 Mbit/s (DENIED, CONFIG), after the configuration had grown to thousands of routes.

Cause: a call to the store had 450 ms, and one to a peer 1 s, for the whole answer. A configuration of 2,800 routes takes longer on such a link, and each pending version makes the answer of a watch longer. Each try was cut off, began anew and filled the link, so an entry that was behind stayed behind. Class of fault: a timeout for a whole transfer where its size is not bounded.

The timeouts now bound the head and the time in which nothing arrives. The proof of a read counts from its head, since a slow body would make it too young.

--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -13,6 +13,7 @@
 mod error;
 mod idle;
 pub mod request;
+mod stall;
 pub mod upload;
 
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -30,11 +32,15 @@
 
 use self::idle::IdlePool;
 use self::idle::Sender;
+use self::stall::StallGuard;
 use self::upload::RequestBody;
+use crate::clock::BootClock;
 use crate::listen::BufferBudget;
 use crate::listen::body;
 use crate::traffic::CountingStream;
 use crate::traffic::Traffic;
+use jackdawpin_core::port::Clock;
+use jackdawpin_core::time::Instant;
 
 pub use self::error::Error;
 
@@ -54,6 +60,26 @@
     MaybeSent,
 }
 
+/// Timeouts of an exchange whose answer may be large.
+#[derive(Debug, Clone, Copy)]
+pub struct Timeouts {
+    /// Time until the head of the answer.
+    pub head: Duration,
+    /// Time in which nothing of the answer's body arrives.
+    pub stall: Duration,
+    /// Time from the head to the end of the body.
+    pub body: Duration,
+}
+
+/// A complete answer, and when its head arrived.
+#[derive(Debug)]
+pub struct Received {
+    /// The answer.
+    pub response: Response<Bytes>,
+    /// When its head arrived. What the answer says was true before that.
+    pub head_at: Instant,
+}
+
 /// An HTTP client with a pool of idle connections.
 #[derive(Debug)]
 pub struct Client {
@@ -102,36 +128,63 @@
         is_reusable: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, Error> {
         let mut send_state = SendState::Unsent;
-        let request = request.map(Into::into);
-        let exchange = self.send(address, request, max_body_bytes, is_reusable, &mut send_state);
+        let exchange = async {
+            let (response, sender) =
+                self.send(address, request.map(Into::into), &mut send_state).await?;
+            let (parts, body) = response.into_parts();
+            // The timeout of the whole exchange covers the body.
+            let body = self.receive(body, max_body_bytes, Duration::MAX).await?;
+            if is_reusable(&parts.headers) {
+                self.idle.push(address, sender);
+            }
+            Ok(Response::from_parts(parts, body))
+        };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) if send_state == SendState::Unsent => Err(Error::NotSent("timed out".into())),
-            Err(_) => Err(Error::Timeout),
+            Err(_) => Err(timeout_error(send_state)),
         }
     }
 
-    /// Sends a request. If a reused connection closes before it accepts the request, the request is
-    /// sent on another one.
+    /// Sends a request and returns its complete answer, with at most `max_body_bytes` of body, which
+    /// may take long as long as it goes on to arrive.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::exchange`].
+    pub async fn exchange_large(
+        &self,
+        address: SocketAddr,
+        request: Request<impl Into<RequestBody>>,
+        timeouts: Timeouts,
+        max_body_bytes: usize,
+    ) -> Result<Received, Error> {
+        let mut send_state = SendState::Unsent;
+        let send = self.send(address, request.map(Into::into), &mut send_state);
+        let (response, sender) = match tokio::time::timeout(timeouts.head, send).await {
+            Ok(result) => result?,
+            Err(_) => return Err(timeout_error(send_state)),
+        };
+        let head_at = BootClock.now();
+        let (parts, body) = response.into_parts();
+        let body = StallGuard::new(body, timeouts.stall);
+        let body = self.receive(body, max_body_bytes, timeouts.body).await?;
+        self.idle.push(address, sender);
+        Ok(Received { response: Response::from_parts(parts, body), head_at })
+    }
+
+    /// Sends a request and returns the answer up to its head, and the connection. If a reused
+    /// connection closes before it accepts the request, the request is sent on another one.
     async fn send(
         &self,
         address: SocketAddr,
         mut request: Request<RequestBody>,
-        max_body_bytes: usize,
-        is_reusable: impl Fn(&HeaderMap) -> bool,
         send_state: &mut SendState,
-    ) -> Result<Response<Bytes>, Error> {
+    ) -> Result<(Response<Incoming>, Sender), Error> {
         loop {
             let (mut sender, reused) = self.connection(address).await?;
             *send_state = SendState::MaybeSent;
             match sender.send(request).await {
-                Ok(response) => {
-                    let response = self.receive(response, max_body_bytes).await?;
-                    if is_reusable(response.headers()) {
-                        self.idle.push(address, sender);
-                    }
-                    return Ok(response);
-                }
+                Ok(response) => return Ok((response, sender)),
                 Err(mut failure) => {
                     // hyper returns the request only if it has not begun to write it.
                     let Some(unsent) = failure.take_message() else {
@@ -161,17 +214,23 @@
     /// Reads the body of a response.
     async fn receive(
         &self,
-        response: Response<Incoming>,
+        body: impl Body<Data = Bytes> + Unpin,
         max_body_bytes: usize,
-    ) -> Result<Response<Bytes>, Error> {
-        let (parts, body) = response.into_parts();
-        // The timeout of the whole exchange covers the body.
-        let body = match body::read(body, max_body_bytes, Duration::MAX, &self.budget).await {
-            Ok(body) => body,
-            Err(body::Error::Large(limit)) => return Err(Error::Large(limit)),
-            Err(err) => return Err(Error::Answer(err.to_string())),
-        };
-        Ok(Response::from_parts(parts, body))
+        timeout: Duration,
+    ) -> Result<Bytes, Error> {
+        match body::read(body, max_body_bytes, timeout, &self.budget).await {
+            Ok(body) => Ok(body),
+            Err(body::Error::Large(limit)) => Err(Error::Large(limit)),
+            Err(err) => Err(Error::Answer(err.to_string())),
+        }
+    }
+}
+
+/// The error of an exchange that has timed out.
+fn timeout_error(send_state: SendState) -> Error {
+    match send_state {
+        SendState::Unsent => Error::NotSent("timed out".into()),
+        SendState::MaybeSent => Error::Timeout,
     }
 }
 
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -17,6 +17,7 @@
 use super::peer_client::PeerClient;
 use super::store_replica::StoreReplica;
 use crate::exchange::Client;
+use crate::exchange::Timeouts;
 use jackdawpin_core::direct::peers::HEARTBEAT_INTERVAL;
 use jackdawpin_core::direct::peers::MemberOrder;
 use jackdawpin_core::direct::replica;
@@ -33,8 +34,13 @@
 /// Time between two heartbeats above which the process must have been suspended.
 const SUSPENDED_AFTER: Duration = Duration::from_millis(1_200);
 
-/// Timeout for fetching changes from a peer.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeouts for fetching changes from a peer. A configuration of the largest size takes about a
+/// second on a link of 10 Mbit/s.
+const FETCH_TIMEOUTS: Timeouts = Timeouts {
+    head: Duration::from_millis(1_000),
+    stall: Duration::from_millis(450),
+    body: Duration::from_secs(4),
+};
 
 /// Time for which a restarted entry waits for the first heartbeat of a peer: several round trips
 /// within a region. Without a live peer, the entry starts to serve this much later.
@@ -46,6 +52,10 @@
 /// Timeout for fetching all items from a peer, which fills a slow link for a while.
 const FETCH_ALL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// [`FETCH_ALL_TIMEOUT`] for each part of the exchange.
+const FETCH_ALL_TIMEOUTS: Timeouts =
+    Timeouts { head: FETCH_ALL_TIMEOUT, stall: FETCH_ALL_TIMEOUT, body: FETCH_ALL_TIMEOUT };
+
 /// Delay before missing changes are fetched from an entry that may lack them itself.
 const FETCH_DELAY: Duration = Duration::from_millis(120);
 
@@ -358,7 +368,7 @@
         let Some(peer) = self.first_peer().await else {
             return;
         };
-        match self.peer_client.fetch_changes(peer, Cursor::default(), FETCH_ALL_TIMEOUT).await {
+        match self.peer_client.fetch_changes(peer, Cursor::default(), FETCH_ALL_TIMEOUTS).await {
             Ok(delta) => {
                 let (epoch, to, age_ms) = (delta.epoch, delta.to, delta.proof_age.as_millis());
                 let taken = to > 0
@@ -388,7 +398,7 @@
 
     /// Fetches the changes that are missing here from `peer`.
     async fn fetch_missing(&self, peer: Ipv4Addr, replica: &StoreReplica) {
-        match self.peer_client.fetch_changes(peer, replica.cursor(), FETCH_TIMEOUT).await {
+        match self.peer_client.fetch_changes(peer, replica.cursor(), FETCH_TIMEOUTS).await {
             Ok(delta) => {
                 let (epoch, from, to) = (delta.epoch, delta.from, delta.to);
                 let taken = replica.merge(delta, self.now());
--- a/crates/daemon/src/gateway/peer_client.rs
+++ b/crates/daemon/src/gateway/peer_client.rs
@@ -3,15 +3,18 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Method;
+use http::StatusCode;
 use http::Uri;
+use http::header::HOST;
 
 use super::convert;
 use crate::clock::BootClock;
 use crate::exchange::Client;
+use crate::exchange::Timeouts;
 use crate::peer;
 use crate::peer::Error;
 use jackdawpin_core::direct::replica::Cursor;
@@ -40,12 +43,12 @@
     ///
     /// # Errors
     ///
-    /// There is no valid answer within `timeout`.
+    /// There is no valid answer within `timeouts`.
     pub(super) async fn fetch_changes(
         &self,
         entry: Ipv4Addr,
         since: Cursor,
-        timeout: Duration,
+        timeouts: Timeouts,
     ) -> Result<Delta, Error> {
         let address = SocketAddr::from((entry, self.port));
         let path = Uri::try_from(format!(
@@ -54,11 +57,18 @@
             since.revision,
             since.epoch
         ))?;
-        let request = peer::build_request(Method::GET, path, Bytes::new());
+        let mut request = peer::build_request(Method::GET, path, Bytes::new());
+        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+            request.headers_mut().insert(HOST, host);
+        }
         let sent_at = BootClock.now();
-        let body =
-            peer::send_request(&self.client, address, request, timeout, MAX_ANSWER_BYTES).await?;
-        let mut delta = convert::delta_from_wire(wire::decode(&body)?);
+        let received =
+            self.client.exchange_large(address, request, timeouts, MAX_ANSWER_BYTES).await?;
+        let response = received.response;
+        if response.status() != StatusCode::OK {
+            return Err(Error::Status(response.status()));
+        }
+        let mut delta = convert::delta_from_wire(wire::decode(response.body())?);
         // The peer may have answered as soon as it was asked, so the proof is older by the whole
         // call.
         delta.proof_age = delta.proof_age.saturating_add(BootClock.now().since(sent_at));
--- a/crates/daemon/src/gateway/store_reader.rs
+++ b/crates/daemon/src/gateway/store_reader.rs
@@ -22,6 +22,7 @@
 use crate::clock::BootClock;
 use crate::exchange;
 use crate::exchange::Client;
+use crate::exchange::Timeouts;
 use crate::headers;
 use jackdawpin_core::direct::replica;
 use jackdawpin_core::direct::replica::Cursor;
@@ -34,13 +35,20 @@
 use jackdawpin_platform::store::Freshness;
 use jackdawpin_platform::store::Page;
 
-/// Timeout for the answer to a watch after the wait for changes. The store usually takes a few
-/// milliseconds.
+/// Timeout for the head of the answer to a watch after the wait for changes. The store usually takes
+/// a few milliseconds.
 const WATCH_ANSWER_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Timeout for one page of a list. A slow store may take a good part of a second.
+/// Timeout for the head of one page of a list. A slow store may take a good part of a second.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time in which nothing of an answer's body arrives after which the call has failed.
+const STALL_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// Timeout for the body of an answer. A configuration of the largest size takes over a second on a
+/// link of 10 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Time for which an entry without items waits for the store before it asks a peer for them. A slow
 /// store takes a few hundred milliseconds.
 const FIRST_LIST_TIME: Duration = Duration::from_millis(500);
@@ -102,6 +110,8 @@
     status: StatusCode,
     epoch: u64,
     body: Bytes,
+    /// When the head arrived: the body is not from a later time.
+    head_at: Instant,
 }
 
 /// Reads the store while this entry is a store reader.
@@ -246,7 +256,7 @@
             return self.read_list_again().await;
         }
         let sent_at = self.now();
-        let Some(changes) = self.request_changes(cursor, Duration::ZERO).await? else {
+        let Some((changes, _)) = self.request_changes(cursor, Duration::ZERO).await? else {
             return self.read_list_again().await;
         };
         let items = replica::replay(items, changes.items);
@@ -308,7 +318,7 @@
         let after = self.replica.cursor();
         let sent_at = self.now();
         let wait = replica::watch_wait(self.replica.proof_age(sent_at));
-        let Some(changes) = self.request_changes(after, wait).await? else {
+        let Some((changes, head_at)) = self.request_changes(after, wait).await? else {
             log::info!(
                 "event=store state=history_gone epoch={} revision={}",
                 after.epoch,
@@ -322,7 +332,7 @@
         let now = self.now();
         // The call would have timed out by then, so the answer is not from a later time, even if
         // the process was suspended before it read the answer.
-        let proved_at = now.min(sent_at + wait + WATCH_ANSWER_TIMEOUT);
+        let proved_at = head_at.min(sent_at + wait + WATCH_ANSWER_TIMEOUT);
         let unchanged = changes.items.is_empty();
         let to = Cursor { revision: changes.revision, ..after };
         if !self.replica.apply(to, changes.items, proved_at, now) {
@@ -357,13 +367,14 @@
         }
     }
 
-    /// Requests the changes after `after`, and waits for them up to `wait`. `None` if the store's
-    /// history no longer has all of them, or if the store has begun another epoch.
+    /// Requests the changes after `after`, and waits for them up to `wait`. Returns them with the time
+    /// at which their head arrived; `None` if the store's history no longer has all of them, or if
+    /// the store has begun another epoch.
     async fn request_changes(
         &self,
         after: Cursor,
         wait: Duration,
-    ) -> Result<Option<Changes>, Error> {
+    ) -> Result<Option<(Changes, Instant)>, Error> {
         let path = store::watch_path(after.revision, wait);
         let answer = self.get(&path, wait + WATCH_ANSWER_TIMEOUT).await?;
         if answer.status.as_u16() == store::HISTORY_GONE {
@@ -375,21 +386,25 @@
         if answer.epoch != after.epoch {
             return Ok(None);
         }
-        Ok(Some(Changes::decode(&answer.body)?))
+        Ok(Some((Changes::decode(&answer.body)?, answer.head_at)))
     }
 
-    /// Sends a GET request to the store.
+    /// Sends a GET request to the store. The head of the answer must arrive within `timeout`.
     async fn get(&self, path: &str, timeout: Duration) -> Result<Answer, Error> {
         self.metrics.store_calls.inc();
         let request = Request::get(path)
             .header(http::header::HOST, self.address.to_string())
             .body(Full::default())?;
-        let response = self
-            .client
-            .exchange(self.address, request, timeout, MAX_ANSWER_BYTES, |_| true)
-            .await?;
-        let epoch = epoch(response.headers());
-        Ok(Answer { status: response.status(), epoch, body: response.into_body() })
+        let timeouts = Timeouts { head: timeout, stall: STALL_TIMEOUT, body: BODY_TIMEOUT };
+        let received =
+            self.client.exchange_large(self.address, request, timeouts, MAX_ANSWER_BYTES).await?;
+        let epoch = epoch(received.response.headers());
+        Ok(Answer {
+            status: received.response.status(),
+            epoch,
+            body: received.response.into_body(),
+            head_at: received.head_at,
+        })
     }
 
     /// The rank of this entry as a store reader, from 0. `None` until it has had time to receive
