Find the routes of a host that is listed more than once

Callers got 404 on a route whose host the configuration lists in two entries, also where the two differ in case only: the routes of the first entry alone were searched. If that entry had a shorter prefix of the path, the request went to the wrong route.

Before the change, a case of the new test found the shorter prefix of the first entry instead of the longer one of the second. The longest prefix is now searched over all entries of the host.

--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -1,5 +1,6 @@
 //! The configuration in force: hosts, routes, services and limits.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -92,6 +93,13 @@
     pub routes: Vec<Arc<Route>>,
 }
 
+impl Host {
+    /// The route with the longest prefix of `path`.
+    fn route(&self, path: &str) -> Option<&Arc<Route>> {
+        self.routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+}
+
 /// The operators' settings of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -135,12 +143,14 @@
 
 impl Config {
     /// The route of a request: of the routes of `host`, the one with the longest prefix of `path`.
-    /// The port and the case of `host` are ignored, and so is a dot at the end of its name.
+    /// The port and the case of `host` are ignored, and so is a dot at the end of its name. A host may
+    /// be listed more than once.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host_name(host);
-        let mut hosts = self.hosts.iter();
-        let host = hosts.find(|entry| host_name(&entry.name).eq_ignore_ascii_case(name))?;
-        host.routes.iter().find(|route| path.starts_with(&*route.prefix))
+        let is_named = |entry: &&Host| host_name(&entry.name).eq_ignore_ascii_case(name);
+        let hosts = self.hosts.iter().filter(is_named);
+        let routes = hosts.filter_map(|host| host.route(path));
+        routes.min_by_key(|route| Reverse(route.prefix.len()))
     }
 
     /// The settings of the service `name`.
--- a/crates/core/tests/direct_config.rs
+++ b/crates/core/tests/direct_config.rs
@@ -45,6 +45,17 @@
     assert_eq!(config.route(named, "/a/x").map(|route| &*route.name), expected);
 }
 
+/// Guards against a host that is listed more than once, and of whose routes only some are found.
+#[rstest]
+#[case("/a/x", Some("short"))]
+#[case("/a/b/x", Some("long"))]
+#[case("/b/x", None)]
+fn host_listed_twice(#[case] path: &str, #[case] expected: Option<&str>) {
+    let mut whole = config(1, vec![named_route("short", "/a/")]);
+    whole.hosts.extend(config(1, vec![named_route("long", "/a/b/")]).hosts);
+    assert_eq!(whole.route("a.example", path).map(|route| &*route.name), expected);
+}
+
 /// Guards against a split that is exact only over thousands of requests, or that favours a service
 /// because of its first position.
 #[rstest]
