Discard the proof of the configuration after a suspension

What callers could see: 404 for an added route from an entry that was suspended while the route was added. Cause: only the replica discarded its proofs; the dispatcher kept one of a datagram that had waited in the socket's buffer.

--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -187,6 +187,11 @@
         self.freshness.lock().record_proof(at);
     }
 
+    /// Discards the freshness proof after the process was suspended.
+    pub fn discard_proof(&self) {
+        self.freshness.lock().discard();
+    }
+
     /// Age of the last freshness proof; `None` if there is none.
     pub fn proof_age(&self, now: Instant) -> Option<Duration> {
         self.freshness.lock().proof_age(now)
--- a/crates/core/src/direct/freshness.rs
+++ b/crates/core/src/direct/freshness.rs
@@ -32,6 +32,12 @@
         self.proved_at = self.proved_at.max(Some(at));
     }
 
+    /// Discards the proof after the process was suspended: messages that arrived meanwhile, and that
+    /// were taken for proofs when they were read, may be older than they state.
+    pub fn discard(&mut self) {
+        self.proved_at = None;
+    }
+
     /// Age of the last proof; `None` if there is none.
     pub fn proof_age(&self, now: Instant) -> Option<Duration> {
         self.proved_at.map(|at| now.since(at))
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -340,7 +340,7 @@
 /// Guards against an entry that denies a proper request, which its caller will not retry: the route
 /// was added while the entry could not learn of it.
 #[tokio::test(start_paused = true)]
-async fn added_route_denied_by_outdated_entry() {
+async fn route_denied_without_a_recent_proof() {
     let doubles = ServerDoubles::default();
     let dispatcher = entry(&doubles, &[Behaviour::Answer(200, WORK_TIME)], 1);
     let refusal = |path| dispatcher.route("a.example", path).err();
@@ -353,6 +353,8 @@
     assert_eq!(refusal("/r/1"), None, "known routes are served all the same");
     dispatcher.record_proof(dispatcher.clock().now());
     assert_eq!(refusal("/added/1"), Some(Refusal::UnknownService));
+    dispatcher.discard_proof();
+    assert_eq!(refusal("/added/1"), Some(Refusal::Fenced), "the process was suspended");
 }
 
 /// Guards against refusals for overload while servers are idle. Work that takes longer than its
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -236,6 +236,7 @@
                 log::warn!("event=stood_still ms={}", now.since(last_run).as_millis());
                 self.dispatcher.peers.note_suspension(now);
                 replica.discard_proofs();
+                self.dispatcher.discard_proof();
             }
             last_run = now;
             let targets = self.dispatcher.peers.next_heartbeat(now, self.dispatcher.random());
