Keep a later configuration when older versions are written again in order

What callers could see: an entry that starts after a restoration gets an older configuration from its peers (404 for routes of the one in force), while the operator writes the lost versions again one after the other.

Cause: a later version was kept only when the epoch began; the first version that was written again replaced it. A later version now stays whatever the revision, and takes the revision of the write. later_version_than_the_copy has the case.

--- a/crates/core/src/direct/replica/cursor.rs
+++ b/crates/core/src/direct/replica/cursor.rs
@@ -1,5 +1,5 @@
-/// Number of the epoch before any restoration.
-const FIRST_EPOCH: u64 = 1;
+/// Number of the epoch before any restoration, and of stores that state none.
+pub const FIRST_EPOCH: u64 = 1;
 
 /// A position in the history of the store. Positions are ordered by epoch, then by revision.
 ///
@@ -8,7 +8,7 @@
 /// within one epoch only.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Cursor {
-    /// Number of the epoch; 0 if the store states none.
+    /// Number of the epoch.
     pub epoch: u64,
     /// Revision in the epoch; 0 if nothing was read.
     pub revision: u64,
--- a/crates/core/src/direct/replica/mod.rs
+++ b/crates/core/src/direct/replica/mod.rs
@@ -32,6 +32,7 @@
 use crate::time::Instant;
 
 pub use self::cursor::Cursor;
+pub use self::cursor::FIRST_EPOCH;
 pub use self::delta::Delta;
 pub use self::delta::Item;
 pub use self::delta::replay;
@@ -262,10 +263,16 @@
     /// Inserts `item` unless a change of the same or a later revision is known. Returns whether the
     /// state of the item changed.
     fn insert_newer(&mut self, item: &Item) -> bool {
-        let known = self.items.get(&item.key);
-        if known.is_some_and(|known| known.revision >= item.revision) {
+        let known = self.items.get_mut(&item.key);
+        if known.as_ref().is_some_and(|known| known.revision >= item.revision) {
+            return false;
+        }
+        if let Some(known) = known.filter(|known| (self.is_later)(known, item)) {
+            // The writer writes again what the store has lost, the oldest version first.
+            known.revision = item.revision;
             return false;
         }
+        let known = self.items.get(&item.key);
         if known.is_none() && item.value.is_none() {
             self.items.insert(item.key.clone(), item.clone());
             return false;
--- a/crates/core/tests/direct_replica.rs
+++ b/crates/core/tests/direct_replica.rs
@@ -363,6 +363,11 @@
     assert_eq!(keys(replica.replace(restored, copy, at(2_000))), ["w"]);
     let state = replica.changes_since(Cursor::default(), at(2_000)).items;
     assert_eq!(state, [item("w", 5, Some("1")), item("v", 7, Some("2"))]);
-    let written = Cursor { epoch: 2, revision: 8 };
-    assert_eq!(keys(replica.apply(written, vec![item("v", 8, Some("3"))], at(3_000))), ["v"]);
+    let changes = vec![item("v", 8, Some("1")), item("v", 9, Some("2"))];
+    let written = Cursor { epoch: 2, revision: 9 };
+    assert_eq!(keys(replica.apply(written, changes, at(3_000))), ["v"], "written again in order");
+    let state = replica.changes_since(Cursor::default(), at(3_000)).items;
+    assert_eq!(state, [item("w", 5, Some("1")), item("v", 9, Some("2"))]);
+    let written = Cursor { epoch: 2, revision: 10 };
+    assert_eq!(keys(replica.apply(written, vec![item("v", 10, Some("3"))], at(4_000))), ["v"]);
 }
