Ask a peer before the copy when an entry starts after a restoration

What callers saw: 404 for routes of the configuration in force from an entry that started right after the store had come back.

Cause: after an outage of 2 s no peer has a recent proof, so the starting entry read the store although peers were live, and took the copy's configuration at the same position at which they held a later one; nothing is fetched between equal positions. It now takes a peer's state first, whatever its age, and the latest list after that, which keeps the later configuration.

--- a/crates/daemon/src/gateway/store_reader.rs
+++ b/crates/daemon/src/gateway/store_reader.rs
@@ -253,6 +253,8 @@
     async fn read_first_list(&self) -> Result<(), Error> {
         let (items, cursor) = self.request_list(Freshness::Stale).await?;
         if cursor.is_restored() {
+            // A peer may have a later configuration than the copy.
+            self.gossip.fetch_all(&self.replica, true).await;
             return self.read_list_again().await;
         }
         let sent_at = self.now();
