Understand stores and entries without epochs, and back off from an earlier one

A store that states no epoch, and messages of entries that know none, now count as the first epoch, and messages of the first epoch name none: entries of two versions understand each other until a store is restored. Before, every message of an epoch was unreadable to the earlier version from its start.

A list of an earlier epoch than the replica's was ignored and counted as read, so that the reader listed and watched without a pause. It is an error now, with the usual backoff.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -49,7 +49,7 @@
     fn changes(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         let number = |name| query::value(request.uri(), name).and_then(|text| text.parse().ok());
         let since = Cursor {
-            epoch: number("epoch").unwrap_or_default(),
+            epoch: convert::epoch_from_wire(number("epoch").unwrap_or_default()),
             revision: number("since").unwrap_or_default(),
         };
         let delta = self.replica.changes_since(since, self.dispatcher.clock().now());
--- a/crates/daemon/src/gateway/convert.rs
+++ b/crates/daemon/src/gateway/convert.rs
@@ -10,6 +10,7 @@
 use jackdawpin_core::direct::peers::Member;
 use jackdawpin_core::direct::replica::Cursor;
 use jackdawpin_core::direct::replica::Delta;
+use jackdawpin_core::direct::replica::FIRST_EPOCH;
 use jackdawpin_core::direct::replica::Item;
 use jackdawpin_core::name;
 use jackdawpin_wire as wire;
@@ -62,13 +63,23 @@
         to: delta.to,
         age_ms: saturating_millis(delta.proof_age),
         items: delta.items.iter().map(item).collect(),
-        epoch: delta.epoch,
+        epoch: epoch_to_wire(delta.epoch),
     }
 }
 
+/// The number of an epoch in messages, which leave out the first one.
+pub(super) fn epoch_to_wire(epoch: u64) -> u64 {
+    if epoch == FIRST_EPOCH { 0 } else { epoch }
+}
+
+/// The epoch that a message names.
+pub(super) fn epoch_from_wire(epoch: u64) -> u64 {
+    if epoch == 0 { FIRST_EPOCH } else { epoch }
+}
+
 /// The position that a notice announces.
 pub(super) fn notice_cursor(notice: &wire::RevisionNotice) -> Cursor {
-    Cursor { epoch: notice.epoch, revision: notice.to }
+    Cursor { epoch: epoch_from_wire(notice.epoch), revision: notice.to }
 }
 
 /// Whole milliseconds of `duration`, at most `u64::MAX`.
@@ -90,7 +101,7 @@
         value: item.value.map(|value| Bytes::from(value.into_vec())),
     };
     Delta {
-        epoch: delta.epoch,
+        epoch: epoch_from_wire(delta.epoch),
         from: delta.from,
         to: delta.to,
         proof_age: Duration::from_millis(delta.age_ms),
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -172,7 +172,7 @@
         };
         let delta = replica.changes_since(from, now);
         let ahead = wire::RevisionNotice {
-            epoch: delta.epoch,
+            epoch: convert::epoch_to_wire(delta.epoch),
             to: delta.to,
             age_ms: convert::saturating_millis(delta.proof_age),
         };
--- a/crates/daemon/src/gateway/store_reader.rs
+++ b/crates/daemon/src/gateway/store_reader.rs
@@ -26,6 +26,7 @@
 use crate::headers;
 use jackdawpin_core::direct::replica;
 use jackdawpin_core::direct::replica::Cursor;
+use jackdawpin_core::direct::replica::FIRST_EPOCH;
 use jackdawpin_core::direct::replica::Item;
 use jackdawpin_core::port::Clock;
 use jackdawpin_core::port::Random;
@@ -91,6 +92,10 @@
         Epoch(first: u64, later: u64) {
             display("the store was restored between two pages: epochs {} and {}", first, later)
         }
+        /// The answer is from an earlier epoch than the replica.
+        EarlierEpoch(answer: u64, known: u64) {
+            display("the store answered from epoch {}, after epoch {}", answer, known)
+        }
         /// The answer has an unexpected status.
         Status(status: StatusCode) {
             display("status {}", status)
@@ -271,6 +276,10 @@
     async fn read_list_again(&self) -> Result<(), Error> {
         let sent_at = self.now();
         let (items, cursor) = self.request_list(Freshness::Latest).await?;
+        let known = self.replica.cursor().epoch;
+        if cursor.epoch < known {
+            return Err(Error::EarlierEpoch(cursor.epoch, known));
+        }
         self.replace_items(cursor, items, sent_at).await;
         Ok(())
     }
@@ -424,13 +433,13 @@
     }
 }
 
-/// The epoch that an answer of the store names; 0 if it names none.
+/// The epoch that an answer of the store names; the first one if it names none.
 fn epoch(headers: &HeaderMap) -> u64 {
     let Some(text) = headers::text(headers, &HeaderName::from_static(store::EPOCH)) else {
-        return 0;
+        return FIRST_EPOCH;
     };
     store::parse_epoch(text).unwrap_or_else(|| {
         log::warn!("event=store field={} error=\"cannot read {text:?}\"", store::EPOCH);
-        0
+        FIRST_EPOCH
     })
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -48,7 +48,7 @@
     pub age_ms: u64,
     /// The changes.
     pub items: Vec<Item>,
-    /// Epoch of the revisions; 0 if the store states none.
+    /// Epoch of the revisions; 0 for the first one.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub epoch: u64,
 }
@@ -60,12 +60,12 @@
     pub to: u64,
     /// Age in milliseconds of the proof that `to` is the store's latest revision.
     pub age_ms: u64,
-    /// Epoch of the revision; 0 if the store states none.
+    /// Epoch of the revision; 0 for the first one.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub epoch: u64,
 }
 
-/// Entries that know no epochs can read messages without one.
+/// Entries that know no epochs can read the messages of the first one.
 #[allow(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
 fn is_zero(number: &u64) -> bool {
     *number == 0
