Test large answers on slow links

exchange_large had no tests. The tests of an exchange cover each of its timeouts, the reuse of the connection and the time of the head.

--- a/crates/daemon/tests/exchange.rs
+++ b/crates/daemon/tests/exchange.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Request;
@@ -20,6 +21,7 @@
 use self::scripted_server::ScriptedServer;
 use self::scripted_server::Step;
 use self::scripted_server::Step::Close;
+use self::scripted_server::Step::Pause;
 use self::scripted_server::Step::Read;
 use self::scripted_server::TIMEOUT;
 use self::scripted_server::answer;
@@ -41,6 +43,8 @@
 use jackdawpin_daemon::clock::BootClock;
 use jackdawpin_daemon::exchange::Client;
 use jackdawpin_daemon::exchange::Error;
+use jackdawpin_daemon::exchange::Received;
+use jackdawpin_daemon::exchange::Timeouts;
 use jackdawpin_daemon::peer::Peer;
 use jackdawpin_daemon::upstream::Upstream;
 
@@ -356,3 +360,82 @@
     let closed = server.events().iter().filter(|event| event.contains("closed")).count();
     assert_eq!(closed, 4, "{:?}", server.events());
 }
+
+/// Timeouts that differ, so that the time of a failure tells which of them ended the exchange.
+const TIMEOUTS: Timeouts = Timeouts {
+    head: Duration::from_millis(200),
+    stall: Duration::from_millis(400),
+    body: Duration::from_millis(1_600),
+};
+
+/// Time by which a loaded machine may be late.
+const LATENESS: Duration = Duration::from_millis(150);
+
+/// Requests an answer that may be large. Returns it with the time that the exchange took.
+async fn exchange_large(
+    client: &Client,
+    address: SocketAddr,
+) -> (Result<Received, Error>, Duration) {
+    let request = Request::get("/").body(Full::default()).unwrap();
+    let started_at = Instant::now();
+    let exchange = client.exchange_large(address, request, TIMEOUTS, 1_000);
+    let result = timeout(TIMEOUT, exchange).await.unwrap();
+    (result, started_at.elapsed())
+}
+
+/// Reads a request and writes the head of an answer, and then a body of `pieces` pieces of four
+/// bytes, each after `pause`.
+fn piecewise_answer(pieces: usize, pause: Duration) -> Vec<Step> {
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", pieces * 4);
+    let body = (0..pieces).flat_map(|_| [Pause(pause), Step::Write("1234".into())]);
+    [Read, Step::Write(head)].into_iter().chain(body).collect()
+}
+
+/// Guards against a large answer that is cut off while it goes on to arrive, and against a new
+/// connection for each such answer. The pauses are longer than the timeout of the head, and the
+/// body takes longer than that of a stall.
+#[tokio::test]
+async fn slow_large_answer_is_received_whole() {
+    let script = [(); 2].map(|()| piecewise_answer(4, Duration::from_millis(250))).concat();
+    let server = ScriptedServer::start(vec![script]).await;
+    let client = Client::default();
+    for _ in 0..2 {
+        let (result, took) = exchange_large(&client, server.address).await;
+        assert_eq!(result.unwrap().response.body(), "1234".repeat(4).as_str());
+        assert!(took >= Duration::from_millis(1_000), "{took:?}");
+    }
+    assert_eq!(server.connections(), 1, "{:?}", server.events());
+}
+
+/// Guards against a large answer that never ends and occupies its reader, and against one that fails
+/// before its timeout or keeps its connection open.
+#[rstest]
+#[case::no_head(vec![Read], TIMEOUTS.head)]
+#[case::no_body(vec![Read, raw_answer("content-length: 9\r\n", "")], TIMEOUTS.stall)]
+#[case::stalled_body(vec![Read, raw_answer("content-length: 9\r\n", "1234")], TIMEOUTS.stall)]
+#[case::trickling_body(piecewise_answer(9, Duration::from_millis(250)), TIMEOUTS.body)]
+#[tokio::test]
+async fn late_large_answer_fails(#[case] script: Vec<Step>, #[case] expected: Duration) {
+    let server = ScriptedServer::start(vec![script]).await;
+    let (result, took) = exchange_large(&Client::default(), server.address).await;
+    match result {
+        Err(Error::Timeout) => assert_eq!(expected, TIMEOUTS.head),
+        Err(Error::Answer(_)) => assert_ne!(expected, TIMEOUTS.head),
+        other => panic!("{other:?}"),
+    }
+    assert!((expected..expected + LATENESS).contains(&took), "{took:?}, not {expected:?}");
+    server.wait_for("0 closed by the other end").await;
+}
+
+/// Guards against a read of the store whose proof counts as younger than it is, because its body
+/// took long.
+#[tokio::test]
+async fn head_time_is_before_the_body() {
+    let server = ScriptedServer::start(vec![piecewise_answer(3, Duration::from_millis(250))]).await;
+    let sent_at = BootClock.now();
+    let (result, _) = exchange_large(&Client::default(), server.address).await;
+    let (head_at, ended_at) = (result.unwrap().head_at, BootClock.now());
+    let (before, after) = (head_at.since(sent_at), ended_at.since(head_at));
+    assert!(before < LATENESS, "{before:?} until the head");
+    assert!(after >= Duration::from_millis(700), "{after:?} from the head to the end");
+}
--- a/crates/daemon/tests/scripted_server/mod.rs
+++ b/crates/daemon/tests/scripted_server/mod.rs
@@ -25,6 +25,8 @@
     Read,
     /// Writes bytes.
     Write(String),
+    /// Waits.
+    Pause(Duration),
     /// Closes the connection.
     Close,
 }
@@ -109,6 +111,7 @@
                 None => return record("closed by the other end".to_owned()),
             },
             Step::Write(text) => drop(stream.write_all(text.as_bytes()).await),
+            Step::Pause(time) => tokio::time::sleep(time).await,
             Step::Close => return,
         }
     }
