Bound the use of a removed server by the last freshness proof

What callers saw: requests answered by a server more than 2 s (`drain`) after the store had acknowledged its removal (DRAIN).

Cause: an entry uses a server whose item expires while it is not draining for a further 1.2 s, counted from when the entry learns of the removal. An entry that learns of it 1.4 s late therefore uses the server for 2.6 s.

Why it works: the item may have been removed right after the last freshness proof, not before. The grace now ends at the latest 1.9 s after that proof, and so at the latest 1.9 s after the removal. Changes during an outage or after a restoration keep their longer grace.

Three cases of the test use_after_a_removal failed with the old grace (1.2 s where 462 ms and 0 are the limits) and pass now. A request that is on its way for more than 100 ms can still arrive late.

--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -51,6 +51,17 @@
 /// renewed them about 2 s after its return.
 pub const EXPIRY_GRACE_AFTER_OUTAGE: Duration = Duration::from_millis(2_200);
 
+/// Time after the last freshness proof up to which a server is used whose removal was learned only
+/// after that. It may have been removed right after the proof, and must get no requests 2 s after
+/// its removal; the rest is for a request that is on its way.
+const MAX_USE_AFTER_PROOF: Duration = Duration::from_millis(1_900);
+
+/// How long a server is used after its item expired while the store was available. `proof_age` is
+/// the age of the last freshness proof from before the expiry was known.
+pub fn expiry_grace(proof_age: Duration) -> Duration {
+    EXPIRY_GRACE.min(MAX_USE_AFTER_PROOF.saturating_sub(proof_age))
+}
+
 /// Names of servers, such as those that were probed for one request.
 pub type ServerNames = SmallVec<[name::Vm; 12]>;
 
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -31,6 +31,7 @@
 use jackdawpin_core::direct::fleet::Server;
 use jackdawpin_core::direct::fleet::ServerNames;
 use jackdawpin_core::direct::fleet::Work;
+use jackdawpin_core::direct::fleet::expiry_grace;
 use jackdawpin_core::direct::port::ProbeAnswer;
 use jackdawpin_core::time::Instant;
 
@@ -163,6 +164,24 @@
     assert_eq!(picked_name(&choose(&fleet, late)), "s2");
 }
 
+/// Guards against requests to a server 2 s after its removal, by an entry that learns of it late.
+#[rstest]
+#[case::learned_at_once(0, 1_200)]
+#[case::latest_full_grace(700, 1_200)]
+#[case::learned_late(1_438, 462)]
+#[case::latest_grace(1_900, 0)]
+#[case::learned_after_the_latest_use(2_400, 0)]
+fn use_after_a_removal(#[case] proof_age: u64, #[case] expected: u64) {
+    let grace = expiry_grace(ms(proof_age));
+    assert_eq!(grace, ms(expected));
+    let fleet = fleet(&[server(1, "a")]);
+    let learned = at(100) + ms(proof_age);
+    fleet.unlist("s1", grace, learned);
+    let late = learned + ms(expected + 1);
+    record_report(&fleet, 1, idle_report(), late);
+    assert_eq!(choose(&fleet, late), Choice::NoServer);
+}
+
 /// Guards against servers that are not used after their items expired while the store was
 /// unavailable: no request could be served until the items are renewed.
 #[test]
--- a/crates/daemon/src/gateway/store_replica.rs
+++ b/crates/daemon/src/gateway/store_replica.rs
@@ -23,14 +23,25 @@
 /// Why items have changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Cause {
-    /// They were written or removed, or expired, while the store was available.
-    Change,
+    /// They were written or removed, or expired, while the store was available. `proof_age` is the
+    /// age of the last freshness proof from before the change was known.
+    Change { proof_age: Duration },
     /// They changed while the store may have been unavailable.
     Outage,
     /// The store was restored from an older copy.
     Restoration,
 }
 
+impl Cause {
+    /// Why items change after the last freshness proof, if the store was not restored.
+    fn after_proof(proof_age: Option<Duration>) -> Self {
+        match proof_age {
+            Some(proof_age) if proof_age <= OUTAGE_PROOF_AGE => Self::Change { proof_age },
+            _ => Self::Outage,
+        }
+    }
+}
+
 /// The items of the store, and the dispatcher that they configure.
 #[derive(Debug)]
 pub(super) struct StoreReplica {
@@ -112,16 +123,16 @@
     /// Runs `update` on the replica, applies the items that it changes to the dispatcher, and passes
     /// the last freshness proof on to it. False if earlier changes are missing.
     fn update(&self, now: Instant, update: impl FnOnce(&mut Replica) -> MergeResult) -> bool {
-        let (result, outage, before, after, proof_age) = {
+        let (result, cause, before, after, proof_age) = {
             let mut replica = self.replica.lock();
-            let outage = replica.proof_age(now).is_none_or(|age| age > OUTAGE_PROOF_AGE);
+            let cause = Cause::after_proof(replica.proof_age(now));
             let before = replica.cursor();
             let result = update(&mut replica);
-            (result, outage, before, replica.cursor(), replica.proof_age(now))
+            (result, cause, before, replica.cursor(), replica.proof_age(now))
         };
         let merged = match result {
             MergeResult::Changed(items) => {
-                self.apply_items(&items, if outage { Cause::Outage } else { Cause::Change }, now);
+                self.apply_items(&items, cause, now);
                 true
             }
             MergeResult::Restored(items) => {
@@ -181,14 +192,16 @@
                     server.draining
                 );
                 match cause {
-                    Cause::Change | Cause::Outage => self.dispatcher.fleet.update(server, now),
+                    Cause::Change { .. } | Cause::Outage => {
+                        self.dispatcher.fleet.update(server, now);
+                    }
                     Cause::Restoration => self.dispatcher.fleet.restore(server, now),
                 }
             }
             Record::ServerRemoved(server) => {
                 log::info!("event=server server={server} state=gone revision={revision}");
                 let grace = match cause {
-                    Cause::Change => fleet::EXPIRY_GRACE,
+                    Cause::Change { proof_age } => fleet::expiry_grace(proof_age),
                     Cause::Outage | Cause::Restoration => fleet::EXPIRY_GRACE_AFTER_OUTAGE,
                 };
                 self.dispatcher.fleet.unlist(server, grace, now);
