Count a server as listed again once a restoration has settled

Cause: a server that is held back until a time kept its state after that time, and every state but `Listed` counted as unlisted, in the rating of a choice and in what a later restoration takes as last known.

Evidence: the tests held_back_server_counts_as_listed_again (the busier s2 was chosen instead of the idle s1) and held_back_server_is_listed_at_the_next_restoration failed before the change.

Why it works: Listing::is_listed takes the time, and both places ask it.

--- a/crates/core/src/direct/fleet/choice.rs
+++ b/crates/core/src/direct/fleet/choice.rs
@@ -18,7 +18,6 @@
 use super::score;
 use super::score::Observations;
 use super::server::InFlight;
-use super::server::Listing;
 use super::server::ServerState;
 use super::table::ServerTable;
 use crate::name;
@@ -155,7 +154,7 @@
             in_flight: u32::try_from(state.in_flight.len()).unwrap_or(u32::MAX),
             failure_rate: state.failure_rate(now),
             other_domain: state.server.domain != self.domain,
-            unlisted: state.listing != Listing::Listed,
+            unlisted: !state.listing.is_listed(now),
         }
     }
 }
--- a/crates/core/src/direct/fleet/restored.rs
+++ b/crates/core/src/direct/fleet/restored.rs
@@ -60,7 +60,7 @@
     pub fn restore(&self, server: Server, now: Instant) {
         let restored = Registration::of(&server);
         let mut table = self.table.lock();
-        let left = match table.last_known(&server) {
+        let left = match table.last_known(&server, now) {
             Some(known) if known.leaving => !server.draining && restored <= known.registration,
             Some(known) if restored < known.registration => return,
             _ => false,
@@ -96,12 +96,12 @@
         });
     }
 
-    fn last_known(&mut self, server: &Server) -> Option<LastKnown> {
+    fn last_known(&mut self, server: &Server, now: Instant) -> Option<LastKnown> {
         let service = self.service_of.get(&server.name).cloned();
         if let Some(service) = service
             && let Some(state) = self.state(service.as_str(), server.name.as_str())
         {
-            let leaving = state.server.draining || state.listing != Listing::Listed;
+            let leaving = state.server.draining || !state.listing.is_listed(now);
             return Some(LastKnown { registration: Registration::of(&state.server), leaving });
         }
         let departure = self.departures.iter().find(|departure| departure.name == server.name)?;
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -116,6 +116,16 @@
             Self::UsableFrom(start) => now >= start,
         }
     }
+
+    /// Whether the platform's item of a server holds at `now`. One from a restored copy holds once
+    /// the server may be used, since it would have expired in the store by then.
+    pub(super) fn is_listed(self, now: Instant) -> bool {
+        match self {
+            Self::Listed => true,
+            Self::UsableUntil(_) => false,
+            Self::UsableFrom(start) => now >= start,
+        }
+    }
 }
 
 /// A server and what this entry knows of it.
--- a/crates/core/tests/direct_restored.rs
+++ b/crates/core/tests/direct_restored.rs
@@ -4,13 +4,25 @@
 
 use rstest::rstest;
 
+use crate::direct_support::SERVICE;
+use crate::direct_support::SeededRandom;
 use crate::direct_support::at;
 use crate::direct_support::domain;
+use crate::direct_support::idle_report;
+use crate::direct_support::loaded_report;
 use crate::direct_support::member;
+use crate::direct_support::ms;
 use crate::direct_support::server;
+use crate::direct_support::vm;
+use jackdawpin_core::direct::fleet::Choice;
+use jackdawpin_core::direct::fleet::Criteria;
 use jackdawpin_core::direct::fleet::EXPIRY_GRACE_AFTER_OUTAGE;
 use jackdawpin_core::direct::fleet::Fleet;
+use jackdawpin_core::direct::fleet::LoadReport;
 use jackdawpin_core::direct::fleet::Server;
+use jackdawpin_core::direct::fleet::ServerNames;
+use jackdawpin_core::direct::fleet::Work;
+use jackdawpin_core::direct::port::ProbeAnswer;
 
 /// Millisecond at which the copy is in force.
 const RESTORED: u64 = 10_000;
@@ -32,6 +44,31 @@
     fleet.server_counts(at(now)).0 == 1
 }
 
+/// The name of the server that is chosen at the millisecond `now`, if the servers just answered a
+/// probe with `reports`: server 1 with the first, and so on.
+fn chosen_name(fleet: &Fleet, reports: &[LoadReport], now: u64) -> Option<String> {
+    let now = at(now);
+    let names: ServerNames = (1..=reports.len()).map(|number| vm(&format!("s{number}"))).collect();
+    for (name, report) in names.iter().zip(reports) {
+        let probe = ProbeAnswer { server: Some(name.clone()), healthy: true, report: *report };
+        fleet.record_probe(SERVICE, name.as_str(), Some(&probe), now.before(ms(2)), now);
+    }
+    let criteria = Criteria {
+        work: Work { usual_time: ms(100), time_left: ms(300) },
+        accept_within: ms(400),
+        min_probability: 0.5,
+        accepted_time: ms(150),
+        overdue_at: now + ms(400),
+        cold_limit: 2,
+        competing_rate: 0.0,
+    };
+    let random = SeededRandom::new(1);
+    match fleet.choose(SERVICE, &names, &criteria, &ServerNames::new(), now, &random) {
+        Choice::Pick(pick) => Some(pick.server.as_str().to_owned()),
+        _ => None,
+    }
+}
+
 /// How a server leaves before the restoration.
 #[derive(Debug, Clone, Copy)]
 enum Departure {
@@ -77,6 +114,32 @@
     assert!(is_usable(&fleet, usable_from));
 }
 
+/// Guards against a live server that is a last resort for ever after it was held back: it is chosen
+/// before one that is slightly worse.
+#[test]
+fn held_back_server_counts_as_listed_again() {
+    let fleet = fleet();
+    fleet.update(written(4, false), at(0));
+    fleet.update(server(2, "a"), at(0));
+    fleet.unlist("s1", EXPIRY_GRACE_AFTER_OUTAGE, at(5_000));
+    fleet.restore(written(4, false), at(RESTORED));
+    let reports = [idle_report(), loaded_report(1, 100)];
+    assert_eq!(chosen_name(&fleet, &reports, SETTLED - 1).as_deref(), Some("s2"));
+    assert_eq!(chosen_name(&fleet, &reports, SETTLED).as_deref(), Some("s1"));
+}
+
+/// Guards against a live server that a second restoration holds back because the first one did: it
+/// had settled in between.
+#[test]
+fn held_back_server_is_listed_at_the_next_restoration() {
+    let fleet = fleet();
+    fleet.update(written(4, false), at(0));
+    fleet.unlist("s1", EXPIRY_GRACE_AFTER_OUTAGE, at(5_000));
+    fleet.restore(written(4, false), at(RESTORED));
+    fleet.restore(written(4, false), at(SETTLED));
+    assert!(is_usable(&fleet, SETTLED));
+}
+
 /// Guards against a server that writes its item again after the restored state was read, and that
 /// is used only after several seconds.
 #[test]
