Restart the settling time at each restoration of the store

What callers saw: after two restorations in a row, requests to servers that had left and to a failure domain that was out of service, and none to live servers that neither copy lists.

Cause: an item that is the same in both copies is not among the changes of the second one, so its time ran since the first restoration, although live servers and operators write their items again only after the second.

Evidence: the tests second_restoration_restarts_the_settling and second_restoration_restarts_the_grace (case during_the_grace) failed with an empty Fleet::restart_settling.

Why it works: each restoration starts the times that still run anew before its items are applied. Times that are over stay over.

Limit: the grace also starts anew for a server that was removed by an ordinary change within the grace before a restoration whose copy does not list it.

--- a/crates/core/src/direct/fleet/pool.rs
+++ b/crates/core/src/direct/fleet/pool.rs
@@ -23,6 +23,10 @@
         &self.servers
     }
 
+    pub(super) fn servers_mut(&mut self) -> &mut [ServerState] {
+        &mut self.servers
+    }
+
     pub(super) fn server(&mut self, name: &str) -> Option<&mut ServerState> {
         let position = *self.positions.get(name)?;
         self.servers.get_mut(position)
--- a/crates/core/src/direct/fleet/restored.rs
+++ b/crates/core/src/direct/fleet/restored.rs
@@ -7,7 +7,9 @@
 
 use std::time::Duration;
 
+use super::EXPIRY_GRACE_AFTER_OUTAGE;
 use super::Fleet;
+use super::pool::Pool;
 use super::server::Listing;
 use super::server::Server;
 use super::table::ServerTable;
@@ -54,6 +56,26 @@
 }
 
 impl Fleet {
+    /// Starts the times that run since an earlier restoration anew, because another copy is in
+    /// force: live servers and the operators have to write their items again. It is to be called
+    /// before the items of the copy are applied.
+    pub fn restart_settling(&self, now: Instant) {
+        let mut table = self.table.lock();
+        let settled = now + SETTLING_TIME;
+        for state in table.pools.values_mut().flat_map(Pool::servers_mut) {
+            state.listing = match state.listing {
+                Listing::UsableFrom(start) if start > now => Listing::UsableFrom(settled),
+                Listing::UsableUntil(end) if end >= now => {
+                    Listing::UsableUntil(now + EXPIRY_GRACE_AFTER_OUTAGE)
+                }
+                listing => listing,
+            };
+        }
+        for until in table.out_of_service.values_mut().flatten().filter(|until| **until > now) {
+            *until = settled;
+        }
+    }
+
     /// Applies the item of a server from a restored copy of the store. An item that is older than
     /// the last one known changes nothing. If the server was leaving or had left by then, it is used
     /// only once it writes its item again, or if its item has not expired within a few seconds.
--- a/crates/core/tests/direct_restored.rs
+++ b/crates/core/tests/direct_restored.rs
@@ -13,6 +13,7 @@
 use crate::direct_support::member;
 use crate::direct_support::ms;
 use crate::direct_support::server;
+use crate::direct_support::service;
 use crate::direct_support::vm;
 use jackdawpin_core::direct::fleet::Choice;
 use jackdawpin_core::direct::fleet::Criteria;
@@ -181,3 +182,36 @@
     fleet.restore_domain(&domain("a"), at(SETTLED));
     assert!(is_usable(&fleet, SETTLED), "it was in service before");
 }
+
+/// Guards against requests to what had left before the first of two restorations in a row: the
+/// second copy does not change its item, but the time to write items again starts anew.
+#[test]
+fn second_restoration_restarts_the_settling() {
+    let fleet = fleet();
+    fleet.update(written(4, false), at(0));
+    fleet.update(Server { service: service("other"), ..server(2, "b") }, at(0));
+    fleet.set_domain_out(&domain("b"), true);
+    fleet.unlist("s1", EXPIRY_GRACE_AFTER_OUTAGE, at(5_000));
+    fleet.restore(written(4, false), at(RESTORED));
+    fleet.restore_domain(&domain("b"), at(RESTORED));
+    fleet.restart_settling(at(RESTORED + 4_000));
+    assert_eq!(fleet.server_counts(at(SETTLED + 4_000 - 1)).0, 0);
+    assert_eq!(fleet.server_counts(at(SETTLED + 4_000)).0, 2);
+
+    fleet.restart_settling(at(SETTLED + 4_000));
+    assert_eq!(fleet.server_counts(at(SETTLED + 4_000)).0, 2, "they had settled");
+}
+
+/// Guards against a live server that is not used after the second of two restorations in a row:
+/// neither copy lists it, and it has not had the time to write its item again.
+#[rstest]
+#[case::during_the_grace(2_200, true)]
+#[case::after_the_grace(2_201, false)]
+fn second_restoration_restarts_the_grace(#[case] delay: u64, #[case] usable: bool) {
+    let fleet = fleet();
+    fleet.update(written(4, false), at(0));
+    fleet.unlist("s1", EXPIRY_GRACE_AFTER_OUTAGE, at(RESTORED));
+    fleet.restart_settling(at(RESTORED + delay));
+    assert_eq!(is_usable(&fleet, RESTORED + delay + 2_200), usable);
+    assert!(!is_usable(&fleet, RESTORED + delay + 2_201));
+}
--- a/crates/daemon/src/gateway/store_replica.rs
+++ b/crates/daemon/src/gateway/store_replica.rs
@@ -145,6 +145,7 @@
                     before.revision,
                     items.len()
                 );
+                self.dispatcher.fleet.restart_settling(now);
                 self.apply_items(&items, Cause::Restoration, now);
                 true
             }
