--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -172,7 +172,7 @@
         };
         let delta = replica.changes_since(from, now);
         let ahead = wire::RevisionNotice {
-            epoch: delta.epoch,
+            epoch: convert::epoch_to_wire(delta.epoch),
             to: delta.to,
             age_ms: convert::saturating_millis(delta.proof_age),
         };
@@ -236,6 +236,7 @@
                 log::warn!("event=stood_still ms={}", now.since(last_run).as_millis());
                 self.dispatcher.peers.note_suspension(now);
                 replica.discard_proofs();
+                self.dispatcher.discard_proof();
             }
             last_run = now;
             let targets = self.dispatcher.peers.next_heartbeat(now, self.dispatcher.random());
