--- a/crates/core/src/direct/fleet/restored.rs
+++ b/crates/core/src/direct/fleet/restored.rs
@@ -7,7 +7,6 @@
 
 use std::time::Duration;
 
-use super::EXPIRY_GRACE_AFTER_OUTAGE;
 use super::Fleet;
 use super::pool::Pool;
 use super::server::Listing;
@@ -56,20 +55,20 @@
 }
 
 impl Fleet {
-    /// Starts the times that run since an earlier restoration anew, because another copy is in
-    /// force: live servers and the operators have to write their items again. It is to be called
-    /// before the items of the copy are applied.
+    /// Restarts the settling time of servers and failure domains that are still held back after an
+    /// earlier restoration, because another copy is in force. To be called before the items of the
+    /// copy are applied.
     pub fn restart_settling(&self, now: Instant) {
         let mut table = self.table.lock();
         let settled = now + SETTLING_TIME;
         for state in table.pools.values_mut().flat_map(Pool::servers_mut) {
-            state.listing = match state.listing {
-                Listing::UsableFrom(start) if start > now => Listing::UsableFrom(settled),
-                Listing::UsableUntil(end) if end >= now => {
-                    Listing::UsableUntil(now + EXPIRY_GRACE_AFTER_OUTAGE)
-                }
-                listing => listing,
-            };
+            // The grace of a server without an item is not extended: it may have been removed by an
+            // ordinary change since the first restoration.
+            if let Listing::UsableFrom(start) = &mut state.listing
+                && *start > now
+            {
+                *start = settled;
+            }
         }
         for until in table.out_of_service.values_mut().flatten().filter(|until| **until > now) {
             *until = settled;
