--- a/crates/core/src/direct/fleet/restored.rs
+++ b/crates/core/src/direct/fleet/restored.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::Fleet;
+use super::pool::Pool;
 use super::server::Listing;
 use super::server::Server;
 use super::table::ServerTable;
@@ -54,6 +55,26 @@
 }
 
 impl Fleet {
+    /// Restarts the settling time of servers and failure domains that are still held back after an
+    /// earlier restoration, because another copy is in force. To be called before the items of the
+    /// copy are applied.
+    pub fn restart_settling(&self, now: Instant) {
+        let mut table = self.table.lock();
+        let settled = now + SETTLING_TIME;
+        for state in table.pools.values_mut().flat_map(Pool::servers_mut) {
+            // The grace of a server without an item is not extended: it may have been removed by an
+            // ordinary change since the first restoration.
+            if let Listing::UsableFrom(start) = &mut state.listing
+                && *start > now
+            {
+                *start = settled;
+            }
+        }
+        for until in table.out_of_service.values_mut().flatten().filter(|until| **until > now) {
+            *until = settled;
+        }
+    }
+
     /// Applies the item of a server from a restored copy of the store. An item that is older than
     /// the last one known changes nothing. If the server was leaving or had left by then, it is used
     /// only once it writes its item again, or if its item has not expired within a few seconds.
--- a/crates/core/tests/direct_restored.rs
+++ b/crates/core/tests/direct_restored.rs
@@ -13,6 +13,7 @@
 use crate::direct_support::member;
 use crate::direct_support::ms;
 use crate::direct_support::server;
+use crate::direct_support::service;
 use crate::direct_support::vm;
 use jackdawpin_core::direct::fleet::Choice;
 use jackdawpin_core::direct::fleet::Criteria;
@@ -181,3 +182,33 @@
     fleet.restore_domain(&domain("a"), at(SETTLED));
     assert!(is_usable(&fleet, SETTLED), "it was in service before");
 }
+
+/// Guards against requests to what had left before the first of two restorations in a row: the
+/// second copy does not change its item, but the time to write items again starts anew.
+#[test]
+fn second_restoration_restarts_the_settling() {
+    let fleet = fleet();
+    fleet.update(written(4, false), at(0));
+    fleet.update(Server { service: service("other"), ..server(2, "b") }, at(0));
+    fleet.set_domain_out(&domain("b"), true);
+    fleet.unlist("s1", EXPIRY_GRACE_AFTER_OUTAGE, at(5_000));
+    fleet.restore(written(4, false), at(RESTORED));
+    fleet.restore_domain(&domain("b"), at(RESTORED));
+    fleet.restart_settling(at(RESTORED + 4_000));
+    assert_eq!(fleet.server_counts(at(SETTLED + 4_000 - 1)).0, 0);
+    assert_eq!(fleet.server_counts(at(SETTLED + 4_000)).0, 2);
+
+    fleet.restart_settling(at(SETTLED + 4_000));
+    assert_eq!(fleet.server_counts(at(SETTLED + 4_000)).0, 2, "they had settled");
+}
+
+/// Guards against a server that has left and whose grace starts anew with a second restoration.
+#[test]
+fn second_restoration_extends_no_grace() {
+    let fleet = fleet();
+    fleet.update(written(4, false), at(0));
+    fleet.unlist("s1", EXPIRY_GRACE_AFTER_OUTAGE, at(RESTORED));
+    fleet.restart_settling(at(RESTORED + 1_000));
+    assert!(is_usable(&fleet, RESTORED + 2_200));
+    assert!(!is_usable(&fleet, RESTORED + 2_201));
+}
