Log and count the rate limits that servers name

Nothing read them, so neither the log nor a metric could tell whether an entry knew a server's limit when it sent a request to it. Decisions don't use them yet.

--- a/crates/core/src/direct/dispatch/hedge.rs
+++ b/crates/core/src/direct/dispatch/hedge.rs
@@ -13,6 +13,7 @@
 use crate::direct::fleet::ServerNames;
 use crate::direct::port::Attempt;
 use crate::direct::port::Backend;
+use crate::direct::port::Reply;
 use crate::direct::port::Verdict;
 use crate::name;
 use crate::outcome::Answer;
@@ -167,8 +168,11 @@
             upload: call.upload,
             deadline: call.deadline(),
         };
-        let verdict = self.backend.send(attempt).await;
+        let Reply { verdict, notice } = self.backend.send(attempt).await;
         let now = self.clock.now();
+        if let Some(notice) = notice {
+            self.fleet.record_notice(service.as_str(), pick, &notice, now);
+        }
         guard.finish(match &verdict {
             Verdict::Ran(answer) if !answer.is_failure() => {
                 AttemptEnd::Answered(now.since(started))
--- a/crates/core/src/direct/fleet/attempt.rs
+++ b/crates/core/src/direct/fleet/attempt.rs
@@ -4,6 +4,7 @@
 
 use super::Fleet;
 use super::Pick;
+use crate::direct::port::Notice;
 use crate::time::Instant;
 
 /// How an attempt ended.
@@ -24,6 +25,14 @@
 }
 
 impl Fleet {
+    /// Records what the server of `pick` said of itself in its answer.
+    pub fn record_notice(&self, service: &str, pick: &Pick, notice: &Notice, now: Instant) {
+        let mut table = self.table.lock();
+        if let Some(state) = table.state(service, pick.server.as_str()) {
+            state.record_notice(notice, now);
+        }
+    }
+
     /// Records how an attempt ended. An answer updates the usual time of `route` and how servers slow
     /// down, corrected for the load that `pick` reports.
     pub fn finish(&self, service: &str, route: &str, pick: &Pick, end: AttemptEnd, now: Instant) {
--- a/crates/core/src/direct/fleet/choice.rs
+++ b/crates/core/src/direct/fleet/choice.rs
@@ -176,12 +176,14 @@
             return None;
         }
         let occupancy = score::occupancy(&report, state.unreported());
+        let rate_limit = state.rate_limit(now);
         state.in_flight.push(InFlight { id, sent_at: now, overdue_at: criteria.overdue_at });
         Some(Pick {
             server: rating.server.clone(),
             address: state.server.address,
             attempt_id: id,
             report,
+            rate_limit,
             report_age: state.report_age(now).unwrap_or_default(),
             occupancy,
             expected_time: rating.expected_time,
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod choice;
 mod curve;
+mod limited;
 mod owned;
 mod pick;
 mod pool;
@@ -127,6 +128,13 @@
         (usable, states().count())
     }
 
+    /// Number of servers that name a rate limit.
+    pub fn limited_count(&self, now: Instant) -> usize {
+        let table = self.table.lock();
+        let states = table.pools.values().flat_map(Pool::servers);
+        states.filter(|state| state.rate_limit(now).is_some()).count()
+    }
+
     /// The time that work of `route` takes at a slowdown of 100%; `default` until it is known.
     pub fn usual_time(&self, route: &str, default: Duration) -> Duration {
         let table = self.table.lock();
@@ -154,6 +162,7 @@
             Some(probe) if probe.server.as_ref().is_none_or(|name| name.as_str() == vm) => {
                 state.record_report(now, now.since(sent_at), probe.report);
                 state.record_health(probe.healthy);
+                state.record_notice(&probe.notice, now);
                 if let Some(load) = probe.report.load {
                     pool.queue.record_waiting(load.waiting, load.slots);
                 }
--- a/crates/core/src/direct/fleet/pick.rs
+++ b/crates/core/src/direct/fleet/pick.rs
@@ -6,6 +6,7 @@
 use super::score;
 use super::score::Work;
 use super::server::LoadReport;
+use crate::direct::rate_limit::RateLimit;
 use crate::name;
 use crate::time::Instant;
 
@@ -47,6 +48,8 @@
     pub attempt_id: u64,
     /// The load report on which the choice is based.
     pub report: LoadReport,
+    /// The rate limit that the server names, as it was known at the choice.
+    pub rate_limit: Option<RateLimit>,
     /// Age of the load report at the time of the choice.
     pub report_age: Duration,
     /// Fraction of the server's slots in use with this attempt; above 1 if it has to wait.
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -5,7 +5,11 @@
 
 use smallvec::SmallVec;
 
+use super::limited;
+use super::limited::Limited;
 use crate::direct::cold::SendWindow;
+use crate::direct::port::Notice;
+use crate::direct::rate_limit::RateLimit;
 use crate::name;
 use crate::time::Instant;
 
@@ -142,6 +146,8 @@
     healthy: bool,
     pub(super) in_flight: SmallVec<[InFlight; 4]>,
     pub(super) cold_sent: SendWindow,
+    /// The rate limit that the server named last.
+    pub(super) limited: Option<Limited>,
     /// Estimated failure rate at `failure_estimate_at`, by the ends of attempts.
     failure_estimate: f64,
     failure_estimate_at: Instant,
@@ -162,6 +168,7 @@
             healthy: true,
             in_flight: SmallVec::new(),
             cold_sent: SendWindow::default(),
+            limited: None,
             failure_estimate: 0.0,
             failure_estimate_at: now,
             succeeded_at: None,
@@ -218,6 +225,16 @@
         self.backoff_until = Instant::default();
     }
 
+    /// Records what the server says of itself in an answer that arrived at `now`.
+    pub(super) fn record_notice(&mut self, notice: &Notice, now: Instant) {
+        limited::record(&mut self.limited, &self.server.name, notice.rate_limit, now);
+    }
+
+    /// The rate limit that the server names.
+    pub(super) fn rate_limit(&self, now: Instant) -> Option<RateLimit> {
+        self.limited.as_ref().filter(|limited| limited.holds(now)).map(Limited::rate)
+    }
+
     /// Records that the server did not answer, or that another server has its address.
     pub(super) fn record_no_answer(&mut self, now: Instant) {
         self.report = None;
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -27,6 +27,7 @@
 pub mod peers;
 pub mod port;
 pub mod probes;
+pub mod rate_limit;
 pub mod rendezvous;
 pub mod replica;
 pub mod retries;
--- a/crates/core/src/direct/port.rs
+++ b/crates/core/src/direct/port.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::direct::fleet::LoadReport;
+use crate::direct::rate_limit::RateLimit;
 use crate::name;
 use crate::outcome::Answer;
 use crate::request::Content;
@@ -44,6 +45,41 @@
     }
 }
 
+/// The rate limit that an answer of a server names.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum NamedLimit {
+    /// The answer names no limit.
+    #[default]
+    None,
+    /// The answer names a limit that cannot be read.
+    Unreadable,
+    /// The answer names this limit.
+    Limit(RateLimit),
+}
+
+/// What a server says of itself in an answer, whatever the answer is about.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Notice {
+    /// The rate limit that the server names.
+    pub rate_limit: NamedLimit,
+}
+
+/// The end of one attempt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reply {
+    /// What it shows about the request.
+    pub verdict: Verdict,
+    /// What the server said of itself; `None` without an answer of this server.
+    pub notice: Option<Notice>,
+}
+
+impl From<Verdict> for Reply {
+    /// The end of an attempt without an answer of its server.
+    fn from(verdict: Verdict) -> Self {
+        Self { verdict, notice: None }
+    }
+}
+
 /// The body of a request that is passed on as it arrives, instead of being held whole.
 pub trait Upload: Send + Sync + 'static {
     /// Whether a part of the body has been passed on. It then cannot be sent to another server.
@@ -68,7 +104,7 @@
 }
 
 /// The answer to a probe.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ProbeAnswer {
     /// Name of the server that answered, unless the answer has none.
     pub server: Option<name::Vm>,
@@ -76,6 +112,8 @@
     pub healthy: bool,
     /// Load of the server.
     pub report: LoadReport,
+    /// What else the server says of itself.
+    pub notice: Notice,
 }
 
 /// Sends requests and probes to servers.
@@ -85,7 +123,7 @@
 
     /// Sends one attempt and waits for its whole answer, at most until its deadline. Dropping the
     /// future closes the connection.
-    fn send(&self, attempt: Attempt<'_, Self::Upload>) -> impl Future<Output = Verdict> + Send;
+    fn send(&self, attempt: Attempt<'_, Self::Upload>) -> impl Future<Output = Reply> + Send;
 
     /// Keeps at most `max` idle connections to each server from now on.
     fn set_max_idle(&self, max: usize);
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -32,6 +32,7 @@
 use jackdawpin_core::direct::fleet::ServerNames;
 use jackdawpin_core::direct::fleet::Work;
 use jackdawpin_core::direct::fleet::expiry_grace;
+use jackdawpin_core::direct::port::Notice;
 use jackdawpin_core::direct::port::ProbeAnswer;
 use jackdawpin_core::time::Instant;
 
@@ -62,7 +63,8 @@
 /// Records that server `number` answered a probe with `report`.
 fn record_report(fleet: &Fleet, number: u16, report: LoadReport, now: Instant) {
     let name = format!("s{number}");
-    let probe = ProbeAnswer { server: Some(vm(&name)), healthy: true, report };
+    let probe =
+        ProbeAnswer { server: Some(vm(&name)), healthy: true, report, notice: Notice::default() };
     fleet.record_probe(SERVICE, &name, Some(&probe), now.before(ms(2)), now);
 }
 
@@ -240,7 +242,12 @@
 #[test]
 fn other_server_answers() {
     let fleet = fleet(&[server(1, "a")]);
-    let probe = ProbeAnswer { server: Some(vm("s9")), healthy: true, report: idle_report() };
+    let probe = ProbeAnswer {
+        server: Some(vm("s9")),
+        healthy: true,
+        report: idle_report(),
+        notice: Notice::default(),
+    };
     fleet.record_probe(SERVICE, "s1", Some(&probe), at(8), at(10));
     assert_eq!(choose(&fleet, at(11)), Choice::NoServer);
     let found = fleet.candidates(
--- a/crates/core/tests/direct_overload.rs
+++ b/crates/core/tests/direct_overload.rs
@@ -35,6 +35,7 @@
 use jackdawpin_core::direct::fleet::Load;
 use jackdawpin_core::direct::fleet::LoadReport;
 use jackdawpin_core::direct::fleet::Work;
+use jackdawpin_core::direct::port::Notice;
 use jackdawpin_core::direct::port::ProbeAnswer;
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::outcome::Refusal;
@@ -63,7 +64,8 @@
 
 fn report(fleet: &Fleet, load: Load, now: Instant) {
     let report = LoadReport { load: Some(load), cold_for: Duration::ZERO };
-    let probe = ProbeAnswer { server: Some(vm("s1")), healthy: true, report };
+    let probe =
+        ProbeAnswer { server: Some(vm("s1")), healthy: true, report, notice: Notice::default() };
     fleet.record_probe(SERVICE, "s1", Some(&probe), now.before(ms(10)), now);
 }
 
@@ -155,7 +157,12 @@
     assert!(matches!(sent, Choice::Pick(_)), "one request may wait: {sent:?}");
     // The probe was sent 50 ms ago.
     let load = LoadReport { load: Some(full), cold_for: Duration::ZERO };
-    let probe = ProbeAnswer { server: Some(vm("s1")), healthy: true, report: load };
+    let probe = ProbeAnswer {
+        server: Some(vm("s1")),
+        healthy: true,
+        report: load,
+        notice: Notice::default(),
+    };
     fleet.record_probe(SERVICE, "s1", Some(&probe), at(5_000).before(ms(50)), at(5_000));
     let choice = choose(&fleet, &patient, at(5_001), &random);
     assert_eq!(matches!(choice, Choice::Pick(_)), accepted, "{choice:?}");
--- a/crates/core/tests/direct_restored.rs
+++ b/crates/core/tests/direct_restored.rs
@@ -23,6 +23,7 @@
 use jackdawpin_core::direct::fleet::Server;
 use jackdawpin_core::direct::fleet::ServerNames;
 use jackdawpin_core::direct::fleet::Work;
+use jackdawpin_core::direct::port::Notice;
 use jackdawpin_core::direct::port::ProbeAnswer;
 
 /// Millisecond at which the copy is in force.
@@ -51,7 +52,12 @@
     let now = at(now);
     let names: ServerNames = (1..=reports.len()).map(|number| vm(&format!("s{number}"))).collect();
     for (name, report) in names.iter().zip(reports) {
-        let probe = ProbeAnswer { server: Some(name.clone()), healthy: true, report: *report };
+        let probe = ProbeAnswer {
+            server: Some(name.clone()),
+            healthy: true,
+            report: *report,
+            notice: Notice::default(),
+        };
         fleet.record_probe(SERVICE, name.as_str(), Some(&probe), now.before(ms(2)), now);
     }
     let criteria = Criteria {
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -34,7 +34,9 @@
 use jackdawpin_core::direct::peers::Peers;
 use jackdawpin_core::direct::port::Attempt;
 use jackdawpin_core::direct::port::Backend;
+use jackdawpin_core::direct::port::Notice;
 use jackdawpin_core::direct::port::ProbeAnswer;
+use jackdawpin_core::direct::port::Reply;
 use jackdawpin_core::direct::port::Upload;
 use jackdawpin_core::direct::port::Verdict;
 use jackdawpin_core::direct::retries;
@@ -170,6 +172,7 @@
     pub behaviour: Behaviour,
     pub report: LoadReport,
     pub healthy: bool,
+    pub notice: Notice,
     pub name: name::Vm,
 }
 
@@ -195,8 +198,13 @@
 impl ServerDoubles {
     /// Adds server `number`, or replaces it.
     pub fn add(&self, number: u16, behaviour: Behaviour, report: LoadReport) {
-        let double =
-            ServerDouble { behaviour, report, healthy: true, name: vm(&format!("s{number}")) };
+        let double = ServerDouble {
+            behaviour,
+            report,
+            healthy: true,
+            notice: Notice::default(),
+            name: vm(&format!("s{number}")),
+        };
         self.0.lock().unwrap().doubles.insert(address(number), double);
     }
 
@@ -225,11 +233,11 @@
 impl Backend for ServerDoubles {
     type Upload = UploadDouble;
 
-    async fn send(&self, attempt: Attempt<'_, UploadDouble>) -> Verdict {
+    async fn send(&self, attempt: Attempt<'_, UploadDouble>) -> Reply {
         let double = self.0.lock().unwrap().doubles.get(&attempt.address).cloned();
         let Some(double) = double.filter(|double| double.behaviour != Behaviour::Unreachable)
         else {
-            return Verdict::NotSent;
+            return Verdict::NotSent.into();
         };
         if let Some(upload) = attempt.upload {
             upload.0.store(true, Ordering::Relaxed);
@@ -238,10 +246,10 @@
             let mut state = self.0.lock().unwrap();
             state.arrivals.push((attempt.id.to_owned(), double.name.clone()));
             if double.name != *attempt.server {
-                return Verdict::Misdirected;
+                return Verdict::Misdirected.into();
             }
             if double.behaviour == Behaviour::Shed {
-                return Verdict::Shed;
+                return Verdict::Shed.into();
             }
             *state.runs.entry(attempt.id.to_owned()).or_default() += 1;
         }
@@ -259,7 +267,7 @@
             _ => Verdict::MayHaveRun("connection_broken"),
         };
         counter.1 = true;
-        verdict
+        Reply { verdict, notice: Some(double.notice) }
     }
 
     fn set_max_idle(&self, max: usize) {
@@ -279,6 +287,7 @@
             server: Some(double.name),
             healthy: double.healthy,
             report: double.report,
+            notice: double.notice,
         })
     }
 }
--- a/crates/core/tests/direct_support/queues.rs
+++ b/crates/core/tests/direct_support/queues.rs
@@ -29,7 +29,9 @@
 use jackdawpin_core::direct::peers::Peers;
 use jackdawpin_core::direct::port::Attempt;
 use jackdawpin_core::direct::port::Backend;
+use jackdawpin_core::direct::port::Notice;
 use jackdawpin_core::direct::port::ProbeAnswer;
+use jackdawpin_core::direct::port::Reply;
 use jackdawpin_core::direct::port::Verdict;
 use jackdawpin_core::outcome::Answer;
 
@@ -132,14 +134,15 @@
 impl Backend for QueueServers {
     type Upload = UploadDouble;
 
-    async fn send(&self, attempt: Attempt<'_, UploadDouble>) -> Verdict {
+    async fn send(&self, attempt: Attempt<'_, UploadDouble>) -> Reply {
         let now = jackdawpin_core::port::Clock::now(&self.clock);
         tokio::time::sleep(LATENCY).await;
         let server = &self.by_address[&attempt.address];
-        match tokio::time::timeout(attempt.deadline.since(now), server.run()).await {
+        let verdict = match tokio::time::timeout(attempt.deadline.since(now), server.run()).await {
             Ok(()) => Verdict::Ran(Answer { status: 200, headers: Vec::new(), body: Bytes::new() }),
             Err(_) => Verdict::MayHaveRun(Verdict::TIMEOUT),
-        }
+        };
+        Reply { verdict, notice: None }
     }
 
     fn set_max_idle(&self, _: usize) {}
@@ -149,6 +152,6 @@
         let load = self.by_address[&address].load();
         tokio::time::sleep(ms(1)).await;
         let report = LoadReport { load: Some(load), cold_for: Duration::ZERO };
-        Some(ProbeAnswer { server: None, healthy: true, report })
+        Some(ProbeAnswer { server: None, healthy: true, report, notice: Notice::default() })
     }
 }
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -13,6 +13,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 
+use super::notice;
 use crate::clock::BootClock;
 use crate::exchange::Client;
 use crate::exchange::Error;
@@ -24,6 +25,7 @@
 use jackdawpin_core::direct::port;
 use jackdawpin_core::direct::port::Attempt;
 use jackdawpin_core::direct::port::ProbeAnswer;
+use jackdawpin_core::direct::port::Reply;
 use jackdawpin_core::direct::port::Verdict;
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::port::Clock;
@@ -54,14 +56,14 @@
 impl port::Backend for ServerClient {
     type Upload = Upload;
 
-    async fn send(&self, attempt: Attempt<'_, Upload>) -> Verdict {
+    async fn send(&self, attempt: Attempt<'_, Upload>) -> Reply {
         let time_left = attempt.deadline.since(BootClock.now());
         if time_left.is_zero() {
-            return Verdict::NotSent;
+            return Verdict::NotSent.into();
         }
         let Some(request) = attempt_request(&attempt, time_left) else {
             log::error!("event=attempt id={} error=\"request cannot be encoded\"", attempt.id);
-            return Verdict::NotSent;
+            return Verdict::NotSent.into();
         };
         // A connection on which the rest of a body is due cannot carry another request.
         let is_reusable = |headers: &HeaderMap| {
@@ -72,9 +74,12 @@
         match self.client.exchange(address, request, time_left, MAX_ANSWER_BYTES, is_reusable).await
         {
             Ok(response) if is_foreign(&attempt, &response) => {
-                Verdict::MayHaveRun("foreign_answer")
+                Verdict::MayHaveRun("foreign_answer").into()
+            }
+            Ok(response) => {
+                let notice = Some(notice::parse(address, response.headers()));
+                Reply { verdict: answer_verdict(response), notice }
             }
-            Ok(response) => answer_verdict(response),
             Err(err) => {
                 log::debug!(
                     "event=attempt id={} server={} error={err:?}",
@@ -82,9 +87,9 @@
                     attempt.server
                 );
                 if attempt.upload.is_some_and(|upload| upload.error().is_some()) {
-                    return Verdict::MayHaveRun(Verdict::BODY_CUT);
+                    return Verdict::MayHaveRun(Verdict::BODY_CUT).into();
                 }
-                failure_verdict(&err)
+                failure_verdict(&err).into()
             }
         }
     }
@@ -137,7 +142,8 @@
         parse_field(address, platform_http::SERVER_LOAD, value, platform_http::parse_load)
     });
     let healthy = response.status() == StatusCode::OK;
-    Some(ProbeAnswer { server, healthy, report: LoadReport { load, cold_for } })
+    let notice = notice::parse(address, headers);
+    Some(ProbeAnswer { server, healthy, report: LoadReport { load, cold_for }, notice })
 }
 
 /// Parses a header field of an answer to a probe, and logs an invalid one.
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -37,6 +37,7 @@
     probes: Gauge,
     servers: Gauge,
     servers_usable: Gauge,
+    servers_limited: Gauge,
     entries: Gauge,
     config_version: Gauge,
 }
@@ -59,6 +60,7 @@
             probes: Gauge::default(),
             servers: Gauge::default(),
             servers_usable: Gauge::default(),
+            servers_limited: Gauge::default(),
             entries: Gauge::default(),
             config_version: Gauge::default(),
         };
@@ -90,6 +92,7 @@
         gauge("probes", "probes of servers since the start", &self.probes);
         gauge("servers", "servers known", &self.servers);
         gauge("servers_usable", "servers that may receive work", &self.servers_usable);
+        gauge("servers_limited", "servers that name a rate limit", &self.servers_limited);
         gauge("entries", "live entries, this one included", &self.entries);
         gauge("config_version", "version of the configuration in force", &self.config_version);
         registry.register(
@@ -137,6 +140,7 @@
         self.probes.set(signed(counts.probes));
         self.servers.set(signed(servers as u64));
         self.servers_usable.set(signed(usable as u64));
+        self.servers_limited.set(signed(dispatcher.fleet.limited_count(now) as u64));
         self.entries.set(signed(dispatcher.peers.live_count(now) as u64));
         self.config_version.set(dispatcher.config().map_or(0, |config| signed(config.version)));
         let mut text = String::new();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod front;
 mod gossip;
 mod metrics;
+mod notice;
 mod own_answer;
 mod peer_client;
 mod planned_stop;
--- /dev/null
+++ b/crates/daemon/src/gateway/notice.rs
@@ -0,0 +1,42 @@
+//! Reads what a server says of itself in the header fields of its answers.
+
+use std::net::SocketAddr;
+
+use http::HeaderMap;
+
+use jackdawpin_core::direct::port::NamedLimit;
+use jackdawpin_core::direct::port::Notice;
+use jackdawpin_core::direct::rate_limit::RateLimit;
+use jackdawpin_platform::http as platform_http;
+
+/// What the server at `address` says of itself in an answer with these header fields.
+pub(super) fn parse(address: SocketAddr, headers: &HeaderMap) -> Notice {
+    Notice { rate_limit: named_limit(address, headers) }
+}
+
+/// The lowest of the limits that the fields name. Invalid fields are logged and do not count beside
+/// a valid one.
+fn named_limit(address: SocketAddr, headers: &HeaderMap) -> NamedLimit {
+    let mut named = NamedLimit::None;
+    for value in headers.get_all(platform_http::RATE_LIMIT) {
+        let limit = value.to_str().ok().and_then(platform_http::parse_rate_limit);
+        if limit.is_none() {
+            let field = platform_http::RATE_LIMIT;
+            log::warn!(
+                "event=answer address={address} field={field} error=\"cannot read {value:?}\""
+            );
+        }
+        named = lower(named, limit);
+    }
+    named
+}
+
+/// `named`, or `limit` if that is lower. `None` is a limit that cannot be read.
+fn lower(named: NamedLimit, limit: Option<RateLimit>) -> NamedLimit {
+    match (named, limit) {
+        (NamedLimit::Limit(known), Some(limit)) if known <= limit => named,
+        (_, Some(limit)) => NamedLimit::Limit(limit),
+        (NamedLimit::None, None) => NamedLimit::Unreadable,
+        (_, None) => named,
+    }
+}
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -123,6 +123,9 @@
         };
         let load =
             pick.report.load.map(|load| (load.running, load.waiting, load.slots, load.slowdown));
+        if let Some(limit) = pick.rate_limit {
+            line.push_str(&format!(" limit_per_s={}", limit.per_second()));
+        }
         log::info!(
             "{line} server={} load={load:?} cold_ms={} report_age_ms={} expected_ms={} chance={:.2}",
             pick.server,
