Share the rate limit that a server names among its owners

Cause: nothing read the limit. Entries choose by load, and a limited server looks idle. The answers to probes name the limit, and every entry probes a server before it sends to it, so no entry has to be told by others.

The first entries by rank for a server are its owners and share the limit with token buckets, as for cold servers, but without rounding: a share may be far below one a second. All others leave the server out of the choice for 1 s and then probe it again. If all servers of a service are held back, requests are refused at once, as not run, with the time until the entry's next place; less urgent requests need a fuller bucket. The estimate of competitors no longer counts limited servers.

--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -258,6 +258,10 @@
         loop {
             let pick = match self.select_server(call, service, &progress.tried).await {
                 Selection::Pick(pick) => pick,
+                Selection::Limited(wait) => {
+                    progress.limited_for = Some(wait);
+                    return progress.outcome_without_success(Refusal::RateLimit);
+                }
                 Selection::Refused(refusal, best_expected) => {
                     if refusal == Refusal::QueueFull {
                         self.count_overload(call, service);
--- a/crates/core/src/direct/dispatch/retry_after.rs
+++ b/crates/core/src/direct/dispatch/retry_after.rs
@@ -16,11 +16,20 @@
 /// Shortest pause after any other refusal, in which an overload may pass.
 const MIN_OVERLOAD_PAUSE: Duration = Duration::from_millis(120);
 
+/// Longest pause before the random part. Another entry may have a server sooner than this one.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+
 /// The pause before the caller sends a request again that was refused for this reason, spread at
-/// random between its shortest value and twice that.
-pub(super) fn pause(refusal: Refusal, random: &impl Random) -> Duration {
+/// random between its shortest value and twice that. If the servers turn requests away
+/// for a known time, `unavailable_for`, the pause is not shorter.
+pub(super) fn pause(
+    refusal: Refusal,
+    unavailable_for: Option<Duration>,
+    random: &impl Random,
+) -> Duration {
     // The attempts were used up: servers were chosen that had room.
-    let shortest = if refusal == Refusal::Attempts { MIN_PAUSE } else { MIN_OVERLOAD_PAUSE };
+    let least = if refusal == Refusal::Attempts { MIN_PAUSE } else { MIN_OVERLOAD_PAUSE };
+    let shortest = unavailable_for.unwrap_or_default().min(MAX_PAUSE).max(least);
     let spread = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX);
     shortest + Duration::from_micros(random.below(spread))
 }
--- a/crates/core/src/direct/dispatch/select.rs
+++ b/crates/core/src/direct/dispatch/select.rs
@@ -23,6 +23,7 @@
 use crate::direct::fleet::ServerNames;
 use crate::direct::fleet::Work;
 use crate::direct::port::Backend;
+use crate::direct::rate_limit;
 use crate::name;
 use crate::outcome::Refusal;
 use crate::port::Clock;
@@ -69,6 +70,8 @@
 /// The result of the search for a server.
 pub(super) enum Selection {
     Pick(Pick),
+    /// All servers name rate limits that do not allow the request for this time.
+    Limited(Duration),
     /// Why there is no server, and the expected time of the best one if that is too long.
     Refused(Refusal, Option<Duration>),
 }
@@ -92,6 +95,11 @@
                 Choice::NoServer => {}
             }
             let now = self.clock.now();
+            let priority = call.route.priority;
+            let wait = self.fleet.limited_wait(service.as_str(), tried, priority, now);
+            if let Some(wait) = wait {
+                return Selection::Limited(wait);
+            }
             if now + MIN_TIME_LEFT >= call.deadline() {
                 return Selection::Refused(Refusal::Deadline, None);
             }
@@ -125,6 +133,11 @@
             let name = service.as_str();
             let owns = |server: &name::Vm, domain: &name::Domain| self.owns(server, domain, now);
             let owned = self.fleet.owned_cold(name, &considered, now, owns);
+            let entries = self.peers.live_count(now);
+            self.fleet.share_limits(name, &considered, now, |server, domain, limit| {
+                let rank = self.peers.rank_for_server(server.as_str(), domain.as_str(), now);
+                rate_limit::share(limit, rank, entries)
+            });
             choice = self.fleet.choose(name, &considered, &criteria, &owned, now, &self.random);
             if matches!(choice, Choice::Pick(_)) {
                 return choice;
@@ -239,6 +252,7 @@
             accept_within,
             min_probability,
             accepted_time,
+            priority: call.route.priority,
             overdue_at: now + target.mul_f64(OVERDUE_FACTOR),
             cold_limit: self.cold_limit(service),
             competing_rate: self.competing_rate(service, now),
--- a/crates/core/src/direct/fleet/candidate.rs
+++ b/crates/core/src/direct/fleet/candidate.rs
@@ -21,6 +21,9 @@
 /// together probe several times as many.
 const MAX_OTHER_DOMAIN_SERVERS: usize = 16;
 
+/// The priority of the most urgent requests.
+const MOST_URGENT: u32 = 0;
+
 /// A server that may be chosen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -42,7 +45,8 @@
 }
 
 impl Fleet {
-    /// Up to `count` random servers of `service` that are usable and not in `excluded`.
+    /// Up to `count` random servers of `service` that are usable, not in `excluded`, and not held back
+    /// by a rate limit.
     pub fn candidates(
         &self,
         service: &str,
@@ -59,6 +63,7 @@
         let wanted = |state: &&ServerState| {
             table.usable(state, now)
                 && !state.is_backing_off(now)
+                && state.limit_wait(MOST_URGENT, now).is_none()
                 && (scope == Scope::All || state.server.domain == self.domain)
                 && !excluded.contains(&state.server.name)
         };
--- a/crates/core/src/direct/fleet/choice.rs
+++ b/crates/core/src/direct/fleet/choice.rs
@@ -95,7 +95,8 @@
     ) -> SmallVec<[Rating; 12]> {
         let usable = || pool.servers().iter().filter(|state| table.usable(state, now));
         // Each competitor considers as many servers, so a part of them considers a given one.
-        let share = considered.len() as f64 / usable().count().max(1) as f64;
+        let contended = usable().filter(|state| state.rate_limit(now).is_none()).count();
+        let share = considered.len() as f64 / contended.max(1) as f64;
         let competing_rate = criteria.competing_rate * share.min(1.0);
         usable()
             .filter(|state| considered.contains(&state.server.name))
@@ -106,8 +107,8 @@
             .collect()
     }
 
-    /// Rates one server. `None` without a fresh load report, or if it is cold and may get no
-    /// further request from this entry.
+    /// Rates one server. `None` without a fresh load report, or if it is cold or names a rate limit
+    /// and may get no further request from this entry.
     fn rate_server(
         &self,
         pool: &Pool,
@@ -122,6 +123,9 @@
         if cold && !(owned && state.cold_sent.allows(now, criteria.cold_limit)) {
             return None;
         }
+        if state.limit_wait(criteria.priority, now).is_some() {
+            return None;
+        }
         let observations = self.observations(state, now);
         let work = &criteria.work;
         let expected =
@@ -137,8 +141,8 @@
             expected_time,
             success_probability: score::success_probability(expected_time, work.time_left),
             room: u32::try_from((0..MAX_ROOM).take_while(accepted).count()).unwrap_or(MAX_ROOM),
-            // The few owners of a cold server share its rate and do not compete for it.
-            competitors: if cold {
+            // The few owners of a server share its rate and do not compete for it.
+            competitors: if cold || state.rate_limit(now).is_some() {
                 0.0
             } else {
                 competing_rate * state.unseen_time(now).as_secs_f64()
@@ -160,7 +164,7 @@
 }
 
 impl ServerTable {
-    /// Counts an attempt as in flight. `None` if the server is cold and its limit is reached.
+    /// Counts an attempt as in flight. `None` if a limit of the server is reached.
     fn start_attempt(
         &mut self,
         service: &str,
@@ -175,6 +179,11 @@
         if !report.cold_for.is_zero() && !state.cold_sent.try_send(now, criteria.cold_limit) {
             return None;
         }
+        if let Some(limited) = state.limited.as_mut().filter(|limited| limited.holds(now))
+            && !limited.bucket.try_send(criteria.priority, now)
+        {
+            return None;
+        }
         let occupancy = score::occupancy(&report, state.unreported());
         let rate_limit = state.rate_limit(now);
         state.in_flight.push(InFlight { id, sent_at: now, overdue_at: criteria.overdue_at });
--- a/crates/core/src/direct/fleet/limited.rs
+++ b/crates/core/src/direct/fleet/limited.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
+use super::Fleet;
+use super::ServerNames;
 use crate::direct::port::NamedLimit;
+use crate::direct::rate_limit::Bucket;
 use crate::direct::rate_limit::RateLimit;
 use crate::name;
 use crate::time::Instant;
@@ -16,6 +21,7 @@
 pub(super) struct Limited {
     rate: RateLimit,
     named_at: Instant,
+    pub(super) bucket: Bucket,
 }
 
 impl Limited {
@@ -27,6 +33,84 @@
     pub(super) fn holds(&self, now: Instant) -> bool {
         now.since(self.named_at) <= LIMIT_VALIDITY
     }
+
+    /// How long the server is held back from a request of `priority`.
+    pub(super) fn wait(&self, priority: u32, now: Instant) -> Duration {
+        let validity = LIMIT_VALIDITY.saturating_sub(now.since(self.named_at));
+        self.bucket.wait(priority, now).map_or(validity, |wait| wait.min(validity))
+    }
+}
+
+/// A server that names a limit.
+struct LimitedServer {
+    name: name::Vm,
+    domain: name::Domain,
+    rate: RateLimit,
+}
+
+impl Fleet {
+    /// Updates this entry's shares of the limits that servers in `considered` name. `share` tells
+    /// the requests per second that this entry may send to a server.
+    pub fn share_limits(
+        &self,
+        service: &str,
+        considered: &ServerNames,
+        now: Instant,
+        share: impl Fn(&name::Vm, &name::Domain, RateLimit) -> f64,
+    ) {
+        // The table is not locked while the shares are computed, since that takes the lock of the
+        // entries.
+        for server in self.limited_among(service, considered, now) {
+            let share = share(&server.name, &server.domain, server.rate);
+            let mut table = self.table.lock();
+            let state = table.state(service, server.name.as_str());
+            if let Some(limited) = state.and_then(|state| state.limited.as_mut()) {
+                limited.bucket.set_share(share, now);
+            }
+        }
+    }
+
+    fn limited_among(
+        &self,
+        service: &str,
+        considered: &ServerNames,
+        now: Instant,
+    ) -> SmallVec<[LimitedServer; 4]> {
+        let mut table = self.table.lock();
+        let mut limited = SmallVec::new();
+        for name in considered {
+            let Some(state) = table.state(service, name.as_str()) else {
+                continue;
+            };
+            if let Some(rate) = state.rate_limit(now) {
+                let domain = state.server.domain.clone();
+                limited.push(LimitedServer { name: name.clone(), domain, rate });
+            }
+        }
+        limited
+    }
+
+    /// How long a request of `priority` must wait until the limit of a server allows it, if all
+    /// servers that it may be sent to name a limit that does not allow it now. `tried` servers do
+    /// not count.
+    pub fn limited_wait(
+        &self,
+        service: &str,
+        tried: &ServerNames,
+        priority: u32,
+        now: Instant,
+    ) -> Option<Duration> {
+        let table = self.table.lock();
+        let states = table.pools.get(service)?.servers().iter();
+        let open = states.filter(|state| {
+            table.usable(state, now)
+                && !state.is_backing_off(now)
+                && !tried.contains(&state.server.name)
+        });
+        let waits: Option<SmallVec<[Duration; 32]>> =
+            open.map(|state| state.limit_wait(priority, now)).collect();
+        waits?.into_iter().min()
+    }
 }
 
 /// Updates the limit of `server` by an answer that arrived at `now`. An unreadable limit extends
@@ -47,7 +131,7 @@
         }
         (NamedLimit::Limit(rate), None) => {
             log_change(server, "named", rate);
-            *limited = Some(Limited { rate, named_at: now });
+            *limited = Some(Limited { rate, named_at: now, bucket: Bucket::new(now) });
         }
         (NamedLimit::Unreadable, Some(known)) => known.named_at = now,
         (NamedLimit::None, Some(known)) if !known.holds(now) => {
--- a/crates/core/src/direct/fleet/pick.rs
+++ b/crates/core/src/direct/fleet/pick.rs
@@ -21,6 +21,8 @@
     pub min_probability: f64,
     /// Expected time that is accepted whatever the probability.
     pub accepted_time: Duration,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u32,
     /// When a missing answer starts to count as a failure.
     pub overdue_at: Instant,
     /// Requests per second that this entry may send to a cold server that it owns.
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -235,6 +235,13 @@
         self.limited.as_ref().filter(|limited| limited.holds(now)).map(Limited::rate)
     }
 
+    /// How long the rate limit of the server holds back a request of `priority`; `None` if it does
+    /// not.
+    pub(super) fn limit_wait(&self, priority: u32, now: Instant) -> Option<Duration> {
+        let limited = self.limited.as_ref().filter(|limited| limited.holds(now))?;
+        (!limited.bucket.allows(priority, now)).then(|| limited.wait(priority, now))
+    }
+
     /// Records that the server did not answer, or that another server has its address.
     pub(super) fn record_no_answer(&mut self, now: Instant) {
         self.report = None;
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -8,9 +8,9 @@
 //! What other entries send at the same moment is estimated ([`contention`]). Changes of the
 //! platform's store reach all entries down trees ([`spread`]).
 //!
-//! Entries share five limits without coordination, each by its share of the live entries: the rate
-//! of cold servers ([`cold`]), the retry budget of a service ([`retries`]), the connections of a
-//! server ([`connections`]), the readers of the platform's store ([`replica`]) and the addresses
+//! Entries share six limits without coordination, each by its share of the live entries: the rate
+//! of cold servers ([`cold`]), the rate limits that servers name ([`rate_limit`]), the retry budget
+//! of a service ([`retries`]), the connections of a server ([`connections`]), the readers of the platform's store ([`replica`]) and the addresses
 //! that callers get ([`peers`]).
 //!
 //! The configuration in force is a [`config::Config`]. Nothing here does I/O: servers are reached
--- a/crates/core/src/outcome/mod.rs
+++ b/crates/core/src/outcome/mod.rs
@@ -43,6 +43,8 @@
         Invalid { display("invalid_request") }
         /// Too many requests wait for the service, or all servers are overloaded.
         QueueFull { display("queue_full") }
+        /// All servers name rate limits that are used up.
+        RateLimit { display("rate_limit") }
         /// No server could take the request before the deadline.
         Deadline { display("deadline") }
         /// No server of the service may receive requests.
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -47,6 +47,7 @@
         accepted_time: ms(150),
         overdue_at: now + ms(400),
         cold_limit: 2,
+        priority: 0,
         competing_rate: 0.0,
     }
 }
--- a/crates/core/tests/direct_overload.rs
+++ b/crates/core/tests/direct_overload.rs
@@ -51,6 +51,7 @@
         accepted_time: Duration::ZERO,
         overdue_at: now + ms(400),
         cold_limit: 0,
+        priority: 0,
         competing_rate,
     }
 }
--- a/crates/core/tests/direct_restored.rs
+++ b/crates/core/tests/direct_restored.rs
@@ -67,6 +67,7 @@
         accepted_time: ms(150),
         overdue_at: now + ms(400),
         cold_limit: 2,
+        priority: 0,
         competing_rate: 0.0,
     };
     let random = SeededRandom::new(1);
--- a/crates/core/tests/direct_support/queues.rs
+++ b/crates/core/tests/direct_support/queues.rs
@@ -29,6 +29,7 @@
 use jackdawpin_core::direct::peers::Peers;
 use jackdawpin_core::direct::port::Attempt;
 use jackdawpin_core::direct::port::Backend;
+use jackdawpin_core::direct::port::NamedLimit;
 use jackdawpin_core::direct::port::Notice;
 use jackdawpin_core::direct::port::ProbeAnswer;
 use jackdawpin_core::direct::port::Reply;
@@ -51,6 +52,10 @@
     permits: Semaphore,
     /// Requests that run and wait.
     busy: Mutex<u32>,
+    /// What the server says of itself in its answers.
+    notice: Mutex<Notice>,
+    /// When requests arrived, since the start of the test.
+    arrivals: Mutex<Vec<Duration>>,
 }
 
 impl QueueServer {
@@ -102,12 +107,31 @@
     pub fn new(count: u16, slots: u32, work_time: Duration) -> Self {
         let server = |number| {
             let permits = Semaphore::new(usize::try_from(slots).unwrap());
-            (address(number), QueueServer { slots, work_time, permits, busy: Mutex::new(0) })
+            let server = QueueServer {
+                slots,
+                work_time,
+                permits,
+                busy: Mutex::new(0),
+                notice: Mutex::default(),
+                arrivals: Mutex::default(),
+            };
+            (address(number), server)
         };
         let by_address = Arc::new((1..=count).map(server).collect());
         Self { by_address, slots, clock: PausedClock(tokio::time::Instant::now()) }
     }
 
+    /// Makes server `number` name a rate limit from now on.
+    pub fn name_limit(&self, number: u16, limit: NamedLimit) {
+        let mut notice = self.by_address[&address(number)].notice.lock().unwrap();
+        notice.rate_limit = limit;
+    }
+
+    /// When requests arrived at server `number`, since the start of the test.
+    pub fn arrivals(&self, number: u16) -> Vec<Duration> {
+        self.by_address[&address(number)].arrivals.lock().unwrap().clone()
+    }
+
     /// Entry `number` of `entries`, which knows all others and all servers.
     pub fn entry(
         &self,
@@ -138,20 +162,24 @@
         let now = jackdawpin_core::port::Clock::now(&self.clock);
         tokio::time::sleep(LATENCY).await;
         let server = &self.by_address[&attempt.address];
+        server.arrivals.lock().unwrap().push(self.clock.0.elapsed());
         let verdict = match tokio::time::timeout(attempt.deadline.since(now), server.run()).await {
             Ok(()) => Verdict::Ran(Answer { status: 200, headers: Vec::new(), body: Bytes::new() }),
             Err(_) => Verdict::MayHaveRun(Verdict::TIMEOUT),
         };
-        Reply { verdict, notice: None }
+        let notice = *server.notice.lock().unwrap();
+        Reply { verdict, notice: Some(notice) }
     }
 
     fn set_max_idle(&self, _: usize) {}
 
     async fn probe(&self, address: SocketAddr, _: &str, _: Duration) -> Option<ProbeAnswer> {
         tokio::time::sleep(PROBE_TIME / 2).await;
-        let load = self.by_address[&address].load();
+        let server = &self.by_address[&address];
+        let load = server.load();
+        let notice = *server.notice.lock().unwrap();
         tokio::time::sleep(ms(1)).await;
         let report = LoadReport { load: Some(load), cold_for: Duration::ZERO };
-        Some(ProbeAnswer { server: None, healthy: true, report, notice: Notice::default() })
+        Some(ProbeAnswer { server: None, healthy: true, report, notice })
     }
 }
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -28,7 +28,7 @@
 
 impl RequestEnd {
     /// All values.
-    pub const ALL: [RequestEnd; 17] = [
+    pub const ALL: [RequestEnd; 18] = [
         RequestEnd::Answered,
         RequestEnd::Refused(Refusal::Fenced),
         RequestEnd::Refused(Refusal::Leaving),
@@ -36,6 +36,7 @@
         RequestEnd::Refused(Refusal::UnknownService),
         RequestEnd::Refused(Refusal::Invalid),
         RequestEnd::Refused(Refusal::QueueFull),
+        RequestEnd::Refused(Refusal::RateLimit),
         RequestEnd::Refused(Refusal::Deadline),
         RequestEnd::Refused(Refusal::NoServer),
         RequestEnd::Refused(Refusal::Attempts),
