Log the requests under which servers crash

The log named neither the requests that were the same nor the servers that had crashed, so it could not show whether an entry might have recognized a request. Requests that do the same now have a fingerprint, and after a broken connection or a timeout the server is probed: if it can't be reached, the log names the request and how many servers crashed under it since one answered it. Nothing is held back yet.

--- a/crates/core/src/direct/dispatch/call.rs
+++ b/crates/core/src/direct/dispatch/call.rs
@@ -124,8 +124,8 @@
     pub(super) last_pick: Option<Pick>,
     pub(super) attempts: SmallVec<[AttemptRecord; 2]>,
     pub(super) best_expected: Option<Duration>,
-    /// Time for which the rate limits of all servers do not allow the request.
-    pub(super) limited_for: Option<Duration>,
+    /// Time for which the request is known to be refused.
+    pub(super) unavailable_for: Option<Duration>,
 }
 
 impl Progress {
@@ -192,7 +192,7 @@
     ) -> Completion {
         let retry_after = match outcome {
             Outcome::Refused(refusal) => {
-                Some(retry_after::pause(refusal, self.limited_for, random))
+                Some(retry_after::pause(refusal, self.unavailable_for, random))
             }
             _ => None,
         };
--- a/crates/core/src/direct/dispatch/hedge.rs
+++ b/crates/core/src/direct/dispatch/hedge.rs
@@ -146,7 +146,7 @@
 
     /// Sends one attempt to `pick`, and records its end in the table of servers.
     async fn send(
-        &self,
+        self: &Arc<Self>,
         call: &Call<'_, B::Upload>,
         service: &name::Service,
         pick: &Pick,
@@ -183,6 +183,7 @@
             Verdict::Shed => AttemptEnd::Shed,
             Verdict::Misdirected | Verdict::NotSent => AttemptEnd::Unreachable,
         });
+        self.record_suspect(call, service, pick, &verdict).await;
         verdict
     }
 }
--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod hedge;
 mod retry_after;
 mod select;
+mod suspect;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -37,6 +38,7 @@
 use crate::direct::port::Upload;
 use crate::direct::probes;
 use crate::direct::retries;
+use crate::direct::suspects::Suspects;
 use crate::lock::Mutex;
 use crate::lock::Rank;
 use crate::name;
@@ -107,6 +109,8 @@
     pub fleet: Fleet,
     /// The entries.
     pub peers: Peers,
+    /// Requests under which servers crashed.
+    pub suspects: Suspects,
     backend: B,
     clock: C,
     random: R,
@@ -129,6 +133,7 @@
         Self {
             fleet,
             peers,
+            suspects: Suspects::default(),
             backend,
             clock,
             random,
@@ -259,7 +264,7 @@
             let pick = match self.select_server(call, service, &progress.tried).await {
                 Selection::Pick(pick) => pick,
                 Selection::Limited(wait) => {
-                    progress.limited_for = Some(wait);
+                    progress.unavailable_for = Some(wait);
                     return progress.outcome_without_success(Refusal::RateLimit);
                 }
                 Selection::Refused(refusal, best_expected) => {
--- a/crates/core/src/direct/dispatch/retry_after.rs
+++ b/crates/core/src/direct/dispatch/retry_after.rs
@@ -29,7 +29,8 @@
 ) -> Duration {
     // The attempts were used up: servers were chosen that had room.
     let least = if refusal == Refusal::Attempts { MIN_PAUSE } else { MIN_OVERLOAD_PAUSE };
-    let shortest = unavailable_for.unwrap_or_default().min(MAX_PAUSE).max(least);
+    let longest = if refusal == Refusal::Suspect { Duration::MAX } else { MAX_PAUSE };
+    let shortest = unavailable_for.unwrap_or_default().min(longest).max(least);
     let spread = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX);
     shortest + Duration::from_micros(random.below(spread))
 }
--- /dev/null
+++ b/crates/core/src/direct/dispatch/suspect.rs
@@ -0,0 +1,72 @@
+//! Finds out whether a server crashed under a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Call;
+use super::Dispatcher;
+use crate::direct::fleet::Pick;
+use crate::direct::port::Backend;
+use crate::direct::port::Verdict;
+use crate::direct::suspects::Fingerprint;
+use crate::direct::suspects::ServerProcess;
+use crate::name;
+use crate::port::Clock;
+use crate::port::Random;
+
+/// Timeout of the probe that shows whether a server has crashed. A crashed one refuses the
+/// connection, or does not answer.
+const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
+impl<B: Backend, C: Clock, R: Random> Dispatcher<B, C, R> {
+    /// Records what the end of the attempt at `pick` shows about the request: an answer clears it, and
+    /// a crash of its server makes it suspect. The request waits for the result, so that it is not
+    /// sent to a further server before.
+    pub(super) async fn record_suspect(
+        self: &Arc<Self>,
+        call: &Call<'_, B::Upload>,
+        service: &name::Service,
+        pick: &Pick,
+        verdict: &Verdict,
+    ) {
+        match verdict {
+            Verdict::Ran(_) if !self.suspects.is_empty() => {
+                self.suspects.record_answer(Fingerprint::from(call.content), self.clock.now());
+            }
+            verdict if verdict.may_be_crash() => {
+                let request = Fingerprint::from(call.content);
+                let probe = self.spawn_crash_probe(request, service, pick);
+                // The task ends normally; the caller may leave before it does.
+                let _ = probe.await;
+            }
+            _ => {}
+        }
+    }
+
+    /// Records a crash of the server of `pick` if it can no longer be reached. The task goes on if the
+    /// caller of the request leaves.
+    fn spawn_crash_probe(
+        self: &Arc<Self>,
+        request: Fingerprint,
+        service: &name::Service,
+        pick: &Pick,
+    ) -> tokio::task::JoinHandle<()> {
+        let dispatcher = Arc::clone(self);
+        let (service, server) = (service.clone(), pick.server.clone());
+        let (address, started_ms) = (pick.address, pick.started_ms);
+        tokio::spawn(async move {
+            let config = dispatcher.config();
+            let Some(service) = config.as_ref().and_then(|config| config.service(&service)) else {
+                return;
+            };
+            let probe =
+                dispatcher.backend.probe(address, &service.probe_path, CRASH_PROBE_TIMEOUT).await;
+            let survived = probe
+                .is_some_and(|answer| answer.server.as_ref().is_none_or(|name| *name == server));
+            if !survived {
+                let process = ServerProcess::new(&server, started_ms);
+                dispatcher.suspects.record_crash(request, process, dispatcher.clock.now());
+            }
+        })
+    }
+}
--- a/crates/core/src/direct/fleet/choice.rs
+++ b/crates/core/src/direct/fleet/choice.rs
@@ -190,6 +190,7 @@
         Some(Pick {
             server: rating.server.clone(),
             address: state.server.address,
+            started_ms: state.server.started_ms,
             attempt_id: id,
             report,
             rate_limit,
--- a/crates/core/src/direct/fleet/pick.rs
+++ b/crates/core/src/direct/fleet/pick.rs
@@ -46,6 +46,8 @@
     pub server: name::Vm,
     /// Address of the server.
     pub address: SocketAddr,
+    /// When the server started, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
     /// Identifies the attempt for [`Fleet::finish`].
     pub attempt_id: u64,
     /// The load report on which the choice is based.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -32,3 +32,4 @@
 pub mod replica;
 pub mod retries;
 pub mod spread;
+pub mod suspects;
--- a/crates/core/src/direct/port.rs
+++ b/crates/core/src/direct/port.rs
@@ -30,9 +30,21 @@
     /// Cause of [`Verdict::MayHaveRun`] if the answer did not arrive in time.
     pub const TIMEOUT: &'static str = "timeout";
 
+    /// Cause of [`Verdict::MayHaveRun`] if the connection broke before an answer.
+    pub const CONNECTION_BROKEN: &'static str = "connection_broken";
+
+    /// Cause of [`Verdict::MayHaveRun`] if the answer broke off.
+    pub const ANSWER_CUT: &'static str = "answer_cut";
+
     /// Cause of [`Verdict::MayHaveRun`] if the caller did not send the whole body.
     pub const BODY_CUT: &'static str = "body_cut";
 
+    /// Whether the server may have crashed while it ran the request.
+    pub fn may_be_crash(&self) -> bool {
+        let causes = [Self::CONNECTION_BROKEN, Self::ANSWER_CUT, Self::TIMEOUT];
+        matches!(self, Self::MayHaveRun(cause) if causes.contains(cause))
+    }
+
     /// The verdict as a word for the log.
     pub fn as_str(&self) -> &'static str {
         match self {
--- a/crates/core/src/outcome/mod.rs
+++ b/crates/core/src/outcome/mod.rs
@@ -45,6 +45,8 @@
         QueueFull { display("queue_full") }
         /// All servers name rate limits that are used up.
         RateLimit { display("rate_limit") }
+        /// Servers crashed while they ran the request.
+        Suspect { display("suspect") }
         /// No server could take the request before the deadline.
         Deadline { display("deadline") }
         /// No server of the service may receive requests.
--- a/crates/daemon/src/front/response.rs
+++ b/crates/daemon/src/front/response.rs
@@ -122,6 +122,7 @@
         Refusal::UnknownService => "the service is not in the configuration in force",
         Refusal::Invalid => "the request breaks a limit or is malformed",
         Refusal::QueueFull => "too many requests wait for the service",
+        Refusal::Suspect => "servers crashed while they ran this request",
         Refusal::RateLimit => "the servers of the service take no more requests at this rate",
         Refusal::Deadline => "no server had room before the deadline",
         Refusal::NoServer => "no server of the service may receive work",
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -212,8 +212,8 @@
 fn failure_verdict(err: &Error) -> Verdict {
     match err {
         Error::NotSent(_) => Verdict::NotSent,
-        Error::Broken(_) => Verdict::MayHaveRun("connection_broken"),
-        Error::Answer(_) => Verdict::MayHaveRun("answer_cut"),
+        Error::Broken(_) => Verdict::MayHaveRun(Verdict::CONNECTION_BROKEN),
+        Error::Answer(_) => Verdict::MayHaveRun(Verdict::ANSWER_CUT),
         Error::Large(_) => Verdict::MayHaveRun("answer_too_large"),
         Error::Timeout => Verdict::MayHaveRun(Verdict::TIMEOUT),
     }
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -28,7 +28,7 @@
 
 impl RequestEnd {
     /// All values.
-    pub const ALL: [RequestEnd; 18] = [
+    pub const ALL: [RequestEnd; 19] = [
         RequestEnd::Answered,
         RequestEnd::Refused(Refusal::Fenced),
         RequestEnd::Refused(Refusal::Leaving),
@@ -37,6 +37,7 @@
         RequestEnd::Refused(Refusal::Invalid),
         RequestEnd::Refused(Refusal::QueueFull),
         RequestEnd::Refused(Refusal::RateLimit),
+        RequestEnd::Refused(Refusal::Suspect),
         RequestEnd::Refused(Refusal::Deadline),
         RequestEnd::Refused(Refusal::NoServer),
         RequestEnd::Refused(Refusal::Attempts),
