Hold back requests under which three servers crashed

Cause: each request was new to the dispatcher.

After a broken connection or a timeout, and before any retry, the server is probed. Entries exchange the records with heartbeats, and at once from two crashes on. Three crashes of different processes with no answer in between hold the request back; any answer clears it, so that requests that were in flight at servers killed for other reasons, or that one caller repeats all the time, are not held. It is refused as not run, with the time that is left. After 10 min the first entry by rank tries it once. Records: at most 1,024, for 30 min.

The message between entries is new; entries of the build before log a line for it and ignore it.

Tests: direct_suspects.rs (the replay of both kinds of request fails without the check), suspects.rs against processes.

--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -261,6 +261,10 @@
         };
         self.count_request(call, service);
         loop {
+            if let Some(hold) = self.hold(call) {
+                progress.unavailable_for = Some(hold);
+                return progress.outcome_without_success(Refusal::Suspect);
+            }
             let pick = match self.select_server(call, service, &progress.tried).await {
                 Selection::Pick(pick) => pick,
                 Selection::Limited(wait) => {
--- a/crates/core/src/direct/dispatch/suspect.rs
+++ b/crates/core/src/direct/dispatch/suspect.rs
@@ -1,4 +1,4 @@
-//! Finds out whether a server crashed under a request.
+//! Finds out whether a server crashed under a request, and holds back requests that crash servers.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use crate::direct::port::Backend;
 use crate::direct::port::Verdict;
 use crate::direct::suspects::Fingerprint;
+use crate::direct::suspects::Judgement;
 use crate::direct::suspects::ServerProcess;
 use crate::name;
 use crate::port::Clock;
@@ -19,6 +20,21 @@
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
 impl<B: Backend, C: Clock, R: Random> Dispatcher<B, C, R> {
+    /// For how long the request is held back, because servers crashed under it; `None` if it may be
+    /// sent.
+    pub(super) fn hold(&self, call: &Call<'_, B::Upload>) -> Option<Duration> {
+        if self.suspects.is_empty() {
+            return None;
+        }
+        let now = self.clock.now();
+        let request = Fingerprint::from(call.content);
+        let may_try = || self.peers.rank(&request.to_string(), now) == 0;
+        match self.suspects.judge(&request, now, may_try) {
+            Judgement::Clear => None,
+            Judgement::Held(hold) => Some(hold),
+        }
+    }
+
     /// Records what the end of the attempt at `pick` shows about the request: an answer clears it, and
     /// a crash of its server makes it suspect. The request waits for the result, so that it is not
     /// sent to a further server before.
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -160,6 +160,9 @@
     Shed,
     /// Runs the request and breaks the connection.
     BreakConnection,
+    /// Crashes after half of this time under requests for this path, and answers all others with 200
+    /// after this time.
+    CrashOn(&'static str, Duration),
     /// Cannot be reached, not even by probes.
     Unreachable,
     /// Runs the request and never answers.
@@ -189,6 +192,10 @@
     pub max_idle: Option<usize>,
     /// Attempts whose future was dropped before its answer.
     pub dropped: u32,
+    /// Servers that crashed, and what they did before.
+    pub crashed: HashMap<SocketAddr, Behaviour>,
+    /// Attempts that wait for an answer, by server.
+    pub busy: HashMap<SocketAddr, u32>,
 }
 
 /// A [`Backend`] over server doubles.
@@ -208,6 +215,29 @@
         self.0.lock().unwrap().doubles.insert(address(number), double);
     }
 
+    /// Number of servers that have crashed.
+    pub fn crashed(&self) -> usize {
+        self.0.lock().unwrap().crashed.len()
+    }
+
+    /// Crashes all servers that are running a request.
+    pub fn crash_busy(&self) {
+        let mut state = self.0.lock().unwrap();
+        let busy: Vec<_> = state.busy.iter().filter(|(_, count)| **count > 0).collect();
+        let busy: Vec<_> = busy.into_iter().map(|(address, _)| *address).collect();
+        for address in busy {
+            state.crash(address);
+        }
+    }
+
+    /// Restarts all servers that have crashed.
+    pub fn restart_all(&self) {
+        let mut state = self.0.lock().unwrap();
+        for (address, behaviour) in std::mem::take(&mut state.crashed) {
+            state.doubles.get_mut(&address).unwrap().behaviour = behaviour;
+        }
+    }
+
     /// How often the request `id` has run.
     pub fn runs(&self, id: &str) -> u32 {
         self.0.lock().unwrap().runs.get(id).copied().unwrap_or(0)
@@ -219,6 +249,16 @@
     }
 }
 
+impl DoubleState {
+    fn crash(&mut self, address: SocketAddr) {
+        let double = self.doubles.get_mut(&address).unwrap();
+        let before = std::mem::replace(&mut double.behaviour, Behaviour::Unreachable);
+        if before != Behaviour::Unreachable {
+            self.crashed.insert(address, before);
+        }
+    }
+}
+
 /// Counts an attempt as dropped unless the second field is set before.
 struct DropCounter<'a>(&'a ServerDoubles, bool);
 
@@ -230,6 +270,34 @@
     }
 }
 
+impl ServerDoubles {
+    /// Runs a request for `time`, unless its server crashes before, because the request `crashes` it
+    /// or for another reason.
+    async fn run_or_crash(
+        &self,
+        attempt: &Attempt<'_, UploadDouble>,
+        crashes: bool,
+        time: Duration,
+    ) -> Verdict {
+        let address = attempt.address;
+        *self.0.lock().unwrap().busy.entry(address).or_default() += 1;
+        tokio::time::sleep(time / 2).await;
+        if crashes {
+            self.0.lock().unwrap().crash(address);
+        }
+        tokio::time::sleep(ms(1)).await;
+        let has_crashed = || self.0.lock().unwrap().crashed.contains_key(&address);
+        if !has_crashed() {
+            tokio::time::sleep(time / 2).await;
+        }
+        *self.0.lock().unwrap().busy.entry(address).or_default() -= 1;
+        match has_crashed() {
+            true => Verdict::MayHaveRun(Verdict::CONNECTION_BROKEN),
+            false => Verdict::Ran(Answer { status: 200, headers: Vec::new(), body: Bytes::new() }),
+        }
+    }
+}
+
 impl Backend for ServerDoubles {
     type Upload = UploadDouble;
 
@@ -259,6 +327,9 @@
                 tokio::time::sleep(time).await;
                 Verdict::Ran(Answer { status, headers: Vec::new(), body: Bytes::new() })
             }
+            Behaviour::CrashOn(path, time) => {
+                self.run_or_crash(&attempt, *attempt.content.path == *path, time).await
+            }
             Behaviour::NeverAnswer => {
                 let clock = CLOCK.with(|clock| *clock.borrow());
                 clock.unwrap().sleep_until(attempt.deadline).await;
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -16,6 +16,7 @@
 use super::convert;
 use super::peer_client::PeerClient;
 use super::store_replica::StoreReplica;
+use super::suspect_gossip;
 use crate::exchange::Client;
 use crate::exchange::Timeouts;
 use jackdawpin_core::direct::peers::HEARTBEAT_INTERVAL;
@@ -141,6 +142,7 @@
             () = cancel.cancelled() => {}
             () = self.send_heartbeats(&replica) => {}
             () = self.receive_datagrams(&replica) => {}
+            () = self.send_urgent_suspects() => {}
         }
     }
 
@@ -242,6 +244,10 @@
             let targets = self.dispatcher.peers.next_heartbeat(now, self.dispatcher.random());
             self.send_all(&self.own_heartbeat(MemberOrder::LatestFirst), &targets.latest_first)
                 .await;
+            if let Some(suspects) = suspect_gossip::message(&self.dispatcher.suspects, now) {
+                self.send_all(&suspects, &targets.latest_first).await;
+                self.send_all(&suspects, &targets.own_domain_first).await;
+            }
             if !targets.own_domain_first.is_empty() {
                 self.send_all(
                     &self.own_heartbeat(MemberOrder::OwnDomainFirst),
@@ -252,6 +258,18 @@
         }
     }
 
+    /// Sends changed records of suspect requests to all live entries at once.
+    async fn send_urgent_suspects(&self) {
+        loop {
+            let records = self.dispatcher.suspects.next_urgent().await;
+            let now = self.now();
+            let entries = self.dispatcher.peers.live_entries(now);
+            for message in suspect_gossip::messages(&records, now) {
+                self.send_all(&message, &entries).await;
+            }
+        }
+    }
+
     /// Receives datagrams and handles them.
     async fn receive_datagrams(self: &Arc<Self>, replica: &Arc<StoreReplica>) {
         let mut buffer = [0; wire::MAX_DATAGRAM_BYTES + 1];
@@ -287,8 +305,15 @@
                     .needs_reply
                 {
                     self.send(&self.own_heartbeat(MemberOrder::LatestFirst), from).await;
+                    if let Some(suspects) = suspect_gossip::message(&self.dispatcher.suspects, now)
+                    {
+                        self.send(&suspects, from).await;
+                    }
                 }
             }
+            wire::Datagram::Suspects(received) => {
+                suspect_gossip::merge(&self.dispatcher.suspects, &received, now);
+            }
             wire::Datagram::News(update) => {
                 self.merge_update(&update, from, &[], replica).await;
             }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod run;
 mod store_reader;
 mod store_replica;
+mod suspect_gossip;
 
 use crate::clock::BootClock;
 use crate::clock::Random;
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -90,6 +90,26 @@
     pub targets: Vec<u32>,
 }
 
+/// The crash of a server that was running a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// A number of the process that crashed.
+    pub process: u64,
+    /// Time since then in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A request under which servers crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// Fingerprint of the request, 16 bytes.
+    pub request: ByteBuf,
+    /// The latest crashes.
+    pub crashes: Vec<Crash>,
+    /// Time since a server last answered the request, in milliseconds; `None` if none did.
+    pub answered_age_ms: Option<u64>,
+}
+
 /// A message between entries, sent as a UDP datagram and not repeated when it is lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -99,4 +119,6 @@
     News(StoreUpdate),
     /// An update for the receiver and for further entries.
     Relay(RelayedUpdate),
+    /// Requests under which servers crashed. Entries that do not know this message ignore it.
+    Suspects(Vec<Suspect>),
 }
