Send nothing more to a server that says in an answer that it is leaving

Entries read only the server's item in the store, which they may not get.

Any answer counts, also one to a probe. It holds until the server starts again, also if its item expires and comes back.

--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod score;
 mod server;
 mod table;
+mod withdrawn;
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
--- a/crates/core/src/direct/fleet/pool.rs
+++ b/crates/core/src/direct/fleet/pool.rs
@@ -38,14 +38,12 @@
         self.servers.push(state);
     }
 
-    /// Removes a server; the others keep their order.
-    pub(super) fn remove(&mut self, name: &name::Vm) {
-        let Some(removed) = self.positions.remove(name) else {
-            return;
-        };
-        self.servers.remove(removed);
+    /// Removes a server and returns it; the others keep their order.
+    pub(super) fn remove(&mut self, name: &name::Vm) -> Option<ServerState> {
+        let removed = self.positions.remove(name)?;
         for position in self.positions.values_mut().filter(|position| **position > removed) {
             *position -= 1;
         }
+        Some(self.servers.remove(removed))
     }
 }
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -148,6 +148,9 @@
     pub(super) cold_sent: SendWindow,
     /// The rate limit that the server named last.
     pub(super) limited: Option<Limited>,
+    /// Whether the server has said in an answer that it is leaving. It holds until the server starts
+    /// again, whatever its item in the store says.
+    pub(super) leaving: bool,
     /// Estimated failure rate at `failure_estimate_at`, by the ends of attempts.
     failure_estimate: f64,
     failure_estimate_at: Instant,
@@ -169,6 +172,7 @@
             in_flight: SmallVec::new(),
             cold_sent: SendWindow::default(),
             limited: None,
+            leaving: false,
             failure_estimate: 0.0,
             failure_estimate_at: now,
             succeeded_at: None,
@@ -228,6 +232,10 @@
     /// Records what the server says of itself in an answer that arrived at `now`.
     pub(super) fn record_notice(&mut self, notice: &Notice, now: Instant) {
         limited::record(&mut self.limited, &self.server.name, notice.rate_limit, now);
+        if notice.leaving && !self.leaving {
+            log::info!("event=server server={} state=leaving", self.server.name);
+            self.leaving = true;
+        }
     }
 
     /// The rate limit that the server names.
--- a/crates/core/src/direct/fleet/table.rs
+++ b/crates/core/src/direct/fleet/table.rs
@@ -13,6 +13,7 @@
 use super::server::Load;
 use super::server::Server;
 use super::server::ServerState;
+use super::withdrawn::Withdrawals;
 use crate::direct::rendezvous;
 use crate::name;
 use crate::time::Instant;
@@ -40,6 +41,7 @@
     pub(super) out_of_service: HashMap<name::Domain, Option<Instant>>,
     /// Servers that have left, the earliest first.
     pub(super) departures: VecDeque<Departure>,
+    pub(super) withdrawals: Withdrawals,
     pub(super) usual_seconds: HashMap<Box<str>, f64>,
     pub(super) next_attempt_id: u64,
 }
@@ -51,8 +53,11 @@
 
     pub(super) fn remove(&mut self, service: &name::Service, server: &name::Vm) {
         self.service_of.remove(server);
-        if let Some(pool) = self.pools.get_mut(service) {
-            pool.remove(server);
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        if let Some(removed) = pool.remove(server) {
+            self.withdrawals.record(&removed);
         }
     }
 
@@ -74,7 +79,9 @@
             Some(state) => state.update(server, now),
             None => {
                 let score = rendezvous::score(name.as_str(), ip);
-                pool.add(ServerState::new(server, score, now));
+                let mut state = ServerState::new(server, score, now);
+                self.withdrawals.restore(&mut state);
+                pool.add(state);
             }
         }
         pool.server(name.as_str())
@@ -101,7 +108,8 @@
             .out_of_service
             .get(&state.server.domain)
             .is_some_and(|until| until.is_none_or(|until| now < until));
-        state.listing.is_usable(now) && !state.server.draining && !domain_out
+        let leaving = state.server.draining || state.leaving;
+        state.listing.is_usable(now) && !leaving && !domain_out
     }
 
     /// Records what the end of an attempt shows about the work of `route` and about the servers of
--- a/crates/core/src/direct/port.rs
+++ b/crates/core/src/direct/port.rs
@@ -74,6 +74,8 @@
 pub struct Notice {
     /// The rate limit that the server names.
     pub rate_limit: NamedLimit,
+    /// Whether the server says that it is leaving.
+    pub leaving: bool,
 }
 
 /// The end of one attempt.
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -435,3 +435,32 @@
     let most = preferred_by.values().max().unwrap();
     assert!(*most <= 15, "a server is preferred by {most} of 40 entries");
 }
+
+/// Guards against a server that is used again although it has said that it is leaving, because its item
+/// in the store says otherwise, and against one whose next process is not used.
+#[test]
+fn announced_leaving() {
+    let fleet = fleet(&[server(1, "a")]);
+    let answer = |leaving, now: Instant| {
+        let notice = Notice { leaving, ..Notice::default() };
+        let probe =
+            ProbeAnswer { server: Some(vm("s1")), healthy: true, report: idle_report(), notice };
+        fleet.record_probe(SERVICE, "s1", Some(&probe), now.before(ms(2)), now);
+    };
+    let is_used = |now| matches!(choose(&fleet, now), Choice::Pick(_));
+    answer(false, at(10));
+    assert!(is_used(at(11)));
+    answer(true, at(20));
+    assert!(!is_used(at(21)));
+    fleet.update(Server { sequence: 2, ..server(1, "a") }, at(30));
+    answer(false, at(40));
+    assert!(!is_used(at(41)), "the same process");
+    fleet.unlist("s1", ms(100), at(50));
+    fleet.unlist("s1", ms(100), at(1_000));
+    fleet.update(Server { sequence: 3, ..server(1, "a") }, at(2_000));
+    answer(false, at(2_010));
+    assert!(!is_used(at(2_011)), "the same process, listed again");
+    fleet.update(Server { started_ms: 2, ..server(1, "a") }, at(3_000));
+    answer(false, at(3_010));
+    assert!(is_used(at(3_011)), "the next process");
+}
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -127,39 +127,30 @@
     let headers = response.headers();
     let server = match headers.get(platform_http::SERVER_NAME) {
         None => None,
-        Some(value) => Some(parse_field(address, platform_http::SERVER_NAME, value, |text| {
-            text.try_into().ok()
-        })?),
+        Some(value) => {
+            Some(notice::parse_field(address, platform_http::SERVER_NAME, value, |text| {
+                text.try_into().ok()
+            })?)
+        }
     };
     let cold_for = match headers.get(platform_http::COLD_FOR) {
         None => Duration::ZERO,
-        Some(value) => {
-            parse_field(address, platform_http::COLD_FOR, value, platform_http::parse_cold_for)?
-        }
+        Some(value) => notice::parse_field(
+            address,
+            platform_http::COLD_FOR,
+            value,
+            platform_http::parse_cold_for,
+        )?,
     };
     // A server without a load is rated by this entry's requests in flight to it.
     let load = headers.get(platform_http::SERVER_LOAD).and_then(|value| {
-        parse_field(address, platform_http::SERVER_LOAD, value, platform_http::parse_load)
+        notice::parse_field(address, platform_http::SERVER_LOAD, value, platform_http::parse_load)
     });
     let healthy = response.status() == StatusCode::OK;
     let notice = notice::parse(address, headers);
     Some(ProbeAnswer { server, healthy, report: LoadReport { load, cold_for }, notice })
 }
 
-/// Parses a header field of an answer to a probe, and logs an invalid one.
-fn parse_field<T>(
-    address: SocketAddr,
-    name: &str,
-    value: &HeaderValue,
-    parse: impl Fn(&str) -> Option<T>,
-) -> Option<T> {
-    let result = value.to_str().ok().and_then(parse);
-    if result.is_none() {
-        log::warn!("event=probe address={address} field={name} error=\"cannot read {value:?}\"");
-    }
-    result
-}
-
 /// The request of an attempt; `None` if it cannot be encoded.
 fn attempt_request(
     attempt: &Attempt<'_, Upload>,
