Leave a server alone for the time for which it turns requests away

The pause counts per entry, also if the server's item expires and comes back meanwhile, and ends when the server starts again. If all servers of a service are held back by pauses or rate limits, requests are refused at once. A field that is no number of seconds is logged and ignored; more than an hour counts as an hour.

--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -267,7 +267,7 @@
             }
             let pick = match self.select_server(call, service, &progress.tried).await {
                 Selection::Pick(pick) => pick,
-                Selection::Limited(wait) => {
+                Selection::HeldBack(wait) => {
                     progress.unavailable_for = Some(wait);
                     return progress.outcome_without_success(Refusal::RateLimit);
                 }
--- a/crates/core/src/direct/dispatch/select.rs
+++ b/crates/core/src/direct/dispatch/select.rs
@@ -70,8 +70,8 @@
 /// The result of the search for a server.
 pub(super) enum Selection {
     Pick(Pick),
-    /// All servers name rate limits that do not allow the request for this time.
-    Limited(Duration),
+    /// All servers are held back for this time, by rate limits or pauses.
+    HeldBack(Duration),
     /// Why there is no server, and the expected time of the best one if that is too long.
     Refused(Refusal, Option<Duration>),
 }
@@ -96,9 +96,9 @@
             }
             let now = self.clock.now();
             let priority = call.route.priority;
-            let wait = self.fleet.limited_wait(service.as_str(), tried, priority, now);
+            let wait = self.fleet.wait(service.as_str(), tried, priority, now);
             if let Some(wait) = wait {
-                return Selection::Limited(wait);
+                return Selection::HeldBack(wait);
             }
             if now + MIN_TIME_LEFT >= call.deadline() {
                 return Selection::Refused(Refusal::Deadline, None);
--- a/crates/core/src/direct/fleet/candidate.rs
+++ b/crates/core/src/direct/fleet/candidate.rs
@@ -46,7 +46,7 @@
 
 impl Fleet {
     /// Up to `count` random servers of `service` that are usable, not in `excluded`, and not held back
-    /// by a rate limit.
+    /// by a rate limit or a pause.
     pub fn candidates(
         &self,
         service: &str,
@@ -63,7 +63,7 @@
         let wanted = |state: &&ServerState| {
             table.usable(state, now)
                 && !state.is_backing_off(now)
-                && state.limit_wait(MOST_URGENT, now).is_none()
+                && state.wait(MOST_URGENT, now).is_none()
                 && (scope == Scope::All || state.server.domain == self.domain)
                 && !excluded.contains(&state.server.name)
         };
--- a/crates/core/src/direct/fleet/choice.rs
+++ b/crates/core/src/direct/fleet/choice.rs
@@ -107,8 +107,8 @@
             .collect()
     }
 
-    /// Rates one server. `None` without a fresh load report, or if it is cold or names a rate limit
-    /// and may get no further request from this entry.
+    /// Rates one server. `None` without a fresh load report, or if it may get no further request
+    /// from this entry because it is cold, names a rate limit or wants a pause.
     fn rate_server(
         &self,
         pool: &Pool,
@@ -123,7 +123,7 @@
         if cold && !(owned && state.cold_sent.allows(now, criteria.cold_limit)) {
             return None;
         }
-        if state.limit_wait(criteria.priority, now).is_some() {
+        if state.wait(criteria.priority, now).is_some() {
             return None;
         }
         let observations = self.observations(state, now);
--- a/crates/core/src/direct/fleet/limited.rs
+++ b/crates/core/src/direct/fleet/limited.rs
@@ -89,28 +89,6 @@
         }
         limited
     }
-
-    /// How long a request of `priority` must wait until the limit of a server allows it, if all
-    /// servers that it may be sent to name a limit that does not allow it now. `tried` servers do
-    /// not count.
-    pub fn limited_wait(
-        &self,
-        service: &str,
-        tried: &ServerNames,
-        priority: u32,
-        now: Instant,
-    ) -> Option<Duration> {
-        let table = self.table.lock();
-        let states = table.pools.get(service)?.servers().iter();
-        let open = states.filter(|state| {
-            table.usable(state, now)
-                && !state.is_backing_off(now)
-                && !tried.contains(&state.server.name)
-        });
-        let waits: Option<SmallVec<[Duration; 32]>> =
-            open.map(|state| state.limit_wait(priority, now)).collect();
-        waits?.into_iter().min()
-    }
 }
 
 /// Updates the limit of `server` by an answer that arrived at `now`. An unreadable limit extends
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -136,6 +136,27 @@
         states.filter(|state| state.rate_limit(now).is_some()).count()
     }
 
+    /// How long a request of `priority` must wait for a server, if all servers that it may be sent to
+    /// are held back by their rate limits or by pauses. `tried` servers do not count.
+    pub fn wait(
+        &self,
+        service: &str,
+        tried: &ServerNames,
+        priority: u32,
+        now: Instant,
+    ) -> Option<Duration> {
+        let table = self.table.lock();
+        let states = table.pools.get(service)?.servers().iter();
+        let in_use = states.filter(|state| {
+            table.usable(state, now)
+                && !state.is_backing_off(now)
+                && !tried.contains(&state.server.name)
+        });
+        let waits: Option<SmallVec<[Duration; 32]>> =
+            in_use.map(|state| state.wait(priority, now)).collect();
+        waits?.into_iter().min()
+    }
+
     /// The time that work of `route` takes at a slowdown of 100%; `default` until it is known.
     pub fn usual_time(&self, route: &str, default: Duration) -> Duration {
         let table = self.table.lock();
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -38,6 +38,9 @@
 /// Time after a success for which a report to be unhealthy is ignored.
 const SUCCESS_VALIDITY: Duration = Duration::from_secs(2);
 
+/// Longest pause that a server is believed to want. Longer ones are likely to be mistakes.
+const MAX_PAUSE: Duration = Duration::from_secs(3_600);
+
 /// A server as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Server {
@@ -151,6 +154,8 @@
     /// Whether the server has said in an answer that it is leaving. It holds until the server starts
     /// again, whatever its item in the store says.
     pub(super) leaving: bool,
+    /// Until when the server wants no requests from this entry.
+    pub(super) paused_until: Instant,
     /// Estimated failure rate at `failure_estimate_at`, by the ends of attempts.
     failure_estimate: f64,
     failure_estimate_at: Instant,
@@ -173,6 +178,7 @@
             cold_sent: SendWindow::default(),
             limited: None,
             leaving: false,
+            paused_until: Instant::default(),
             failure_estimate: 0.0,
             failure_estimate_at: now,
             succeeded_at: None,
@@ -236,6 +242,11 @@
             log::info!("event=server server={} state=leaving", self.server.name);
             self.leaving = true;
         }
+        if let Some(pause) = notice.pause {
+            let pause = pause.min(MAX_PAUSE);
+            log::info!("event=pause server={} ms={}", self.server.name, pause.as_millis());
+            self.paused_until = self.paused_until.max(now + pause);
+        }
     }
 
     /// The rate limit that the server names.
@@ -243,9 +254,14 @@
         self.limited.as_ref().filter(|limited| limited.holds(now)).map(Limited::rate)
     }
 
-    /// How long the rate limit of the server holds back a request of `priority`; `None` if it does
-    /// not.
-    pub(super) fn limit_wait(&self, priority: u32, now: Instant) -> Option<Duration> {
+    /// How long the server takes no request of `priority` from this entry, because of its rate limit or
+    /// a pause; `None` if it takes one now.
+    pub(super) fn wait(&self, priority: u32, now: Instant) -> Option<Duration> {
+        let pause = self.paused_until.since(now);
+        self.limit_wait(priority, now).max((!pause.is_zero()).then_some(pause))
+    }
+
+    fn limit_wait(&self, priority: u32, now: Instant) -> Option<Duration> {
         let limited = self.limited.as_ref().filter(|limited| limited.holds(now))?;
         (!limited.bucket.allows(priority, now)).then(|| limited.wait(priority, now))
     }
--- a/crates/core/src/direct/port.rs
+++ b/crates/core/src/direct/port.rs
@@ -76,6 +76,8 @@
     pub rate_limit: NamedLimit,
     /// Whether the server says that it is leaving.
     pub leaving: bool,
+    /// How long the server wants no requests from this entry, if it turned one away for a time.
+    pub pause: Option<Duration>,
 }
 
 /// The end of one attempt.
--- a/crates/core/src/outcome/mod.rs
+++ b/crates/core/src/outcome/mod.rs
@@ -43,7 +43,7 @@
         Invalid { display("invalid_request") }
         /// Too many requests wait for the service, or all servers are overloaded.
         QueueFull { display("queue_full") }
-        /// All servers name rate limits that are used up.
+        /// All servers are held back by rate limits that they name or pauses that they want.
         RateLimit { display("rate_limit") }
         /// Servers crashed while they ran the request.
         Suspect { display("suspect") }
--- a/crates/core/tests/direct_fleet.rs
+++ b/crates/core/tests/direct_fleet.rs
@@ -464,3 +464,37 @@
     answer(false, at(3_010));
     assert!(is_used(at(3_011)), "the next process");
 }
+
+/// Guards against requests to a server that has asked for a pause, also after its item has expired and
+/// come back, and against a pause without end.
+#[test]
+fn requested_pause() {
+    let fleet = fleet(&[server(1, "a")]);
+    let answer = |pause, now: Instant| {
+        let notice = Notice { pause, ..Notice::default() };
+        let probe =
+            ProbeAnswer { server: Some(vm("s1")), healthy: true, report: idle_report(), notice };
+        fleet.record_probe(SERVICE, "s1", Some(&probe), now.before(ms(2)), now);
+    };
+    let is_used = |now| matches!(choose(&fleet, now), Choice::Pick(_));
+    answer(Some(ms(5_000)), at(10));
+    assert!(!is_used(at(11)));
+    assert_eq!(fleet.wait(SERVICE, &ServerNames::new(), 0, at(1_010)), Some(ms(4_000)));
+    answer(Some(ms(10)), at(1_020));
+    assert!(!is_used(at(1_030)), "a shorter pause does not end the first one");
+    fleet.unlist("s1", ms(100), at(1_050));
+    fleet.unlist("s1", ms(100), at(2_000));
+    fleet.update(Server { sequence: 3, ..server(1, "a") }, at(3_000));
+    answer(None, at(3_010));
+    assert!(!is_used(at(3_011)), "the same process, listed again");
+    answer(None, at(5_011));
+    assert!(is_used(at(5_012)));
+    answer(Some(Duration::MAX), at(6_000));
+    assert_eq!(
+        fleet.wait(SERVICE, &ServerNames::new(), 0, at(6_000)),
+        Some(Duration::from_secs(3_600))
+    );
+    fleet.update(Server { started_ms: 2, ..server(1, "a") }, at(7_000));
+    answer(None, at(7_010));
+    assert!(is_used(at(7_011)), "the next process");
+}
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -77,7 +77,7 @@
                 Verdict::MayHaveRun("foreign_answer").into()
             }
             Ok(response) => {
-                let notice = Some(notice::parse(address, response.headers()));
+                let notice = Some(notice::parse(address, &response));
                 Reply { verdict: answer_verdict(response), notice }
             }
             Err(err) => {
@@ -147,7 +147,7 @@
         notice::parse_field(address, platform_http::SERVER_LOAD, value, platform_http::parse_load)
     });
     let healthy = response.status() == StatusCode::OK;
-    let notice = notice::parse(address, headers);
+    let notice = notice::parse(address, response);
     Some(ProbeAnswer { server, healthy, report: LoadReport { load, cold_for }, notice })
 }
 
--- a/crates/daemon/src/gateway/notice.rs
+++ b/crates/daemon/src/gateway/notice.rs
@@ -1,18 +1,27 @@
 //! Reads what a server says of itself in the header fields of its answers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http::HeaderMap;
 use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
 
 use jackdawpin_core::direct::port::NamedLimit;
 use jackdawpin_core::direct::port::Notice;
 use jackdawpin_core::direct::rate_limit::RateLimit;
 use jackdawpin_platform::http as platform_http;
 
-/// What the server at `address` says of itself in an answer with these header fields.
-pub(super) fn parse(address: SocketAddr, headers: &HeaderMap) -> Notice {
-    Notice { rate_limit: named_limit(address, headers), leaving: is_leaving(address, headers) }
+/// What the server at `address` says of itself in an answer.
+pub(super) fn parse<B>(address: SocketAddr, response: &Response<B>) -> Notice {
+    let headers = response.headers();
+    let turned_away = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    Notice {
+        rate_limit: named_limit(address, headers),
+        leaving: is_leaving(address, headers),
+        pause: turned_away.then(|| pause(address, headers)).flatten(),
+    }
 }
 
 /// Parses a header field of an answer, and logs an invalid one.
@@ -57,3 +66,12 @@
         parse_field(address, field, value, platform_http::parse_leaving) == Some(true)
     })
 }
+
+/// The longest of the pauses that the fields of a refusal state.
+fn pause(address: SocketAddr, headers: &HeaderMap) -> Option<Duration> {
+    let field = platform_http::RETRY_AFTER;
+    let values = headers.get_all(field).iter();
+    let pauses = values
+        .filter_map(|value| parse_field(address, field, value, platform_http::parse_retry_after));
+    pauses.max()
+}
