Repeat each request of a crashed server on a server of its own

Cause: the requests of a crashed server are repeated in lock step, and the same load reports send them to the same server. A server that runs a suspect request of the entry is now left out for its other suspect ones, and suspect requests are not hedged. A request that is not the cause is then answered by its second server, which clears it.

--- a/crates/core/src/direct/dispatch/hedge.rs
+++ b/crates/core/src/direct/dispatch/hedge.rs
@@ -108,7 +108,8 @@
         pick: &Pick,
         started: Instant,
     ) -> Option<Instant> {
-        if !call.route.kind.is_idempotent() || progress.sends + 1 >= call.route.max_attempts {
+        let may_repeat = call.route.kind.is_idempotent() && !self.is_suspect(call);
+        if !may_repeat || progress.sends + 1 >= call.route.max_attempts {
             return None;
         }
         let usual_time = self.fleet.usual_time(&call.route.name, Duration::ZERO);
--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -265,7 +265,9 @@
                 progress.unavailable_for = Some(hold);
                 return progress.outcome_without_success(Refusal::Suspect);
             }
-            let pick = match self.select_server(call, service, &progress.tried).await {
+            let suspect = self.is_suspect(call);
+            let excluded = self.excluded_servers(&progress.tried, suspect);
+            let pick = match self.select_server(call, service, &excluded).await {
                 Selection::Pick(pick) => pick,
                 Selection::HeldBack(wait) => {
                     progress.unavailable_for = Some(wait);
@@ -279,6 +281,12 @@
                     return progress.outcome_without_success(refusal);
                 }
             };
+            let occupancy = suspect.then(|| self.suspects.occupy(&pick.server));
+            if matches!(occupancy, Some(None)) {
+                // Another suspect request was quicker; this one takes another server.
+                self.release(call, service, &pick);
+                continue;
+            }
             if !self.allow_attempt(call, service, progress) {
                 self.release(call, service, &pick);
                 return progress.outcome_without_success(Refusal::Attempts);
--- a/crates/core/src/direct/dispatch/suspect.rs
+++ b/crates/core/src/direct/dispatch/suspect.rs
@@ -6,6 +6,7 @@
 use super::Call;
 use super::Dispatcher;
 use crate::direct::fleet::Pick;
+use crate::direct::fleet::ServerNames;
 use crate::direct::port::Backend;
 use crate::direct::port::Verdict;
 use crate::direct::suspects::Fingerprint;
@@ -35,6 +36,22 @@
         }
     }
 
+    /// Whether a server has crashed under the request. Such a request is not hedged, and shares its server
+    /// with no other one.
+    pub(super) fn is_suspect(&self, call: &Call<'_, B::Upload>) -> bool {
+        !self.suspects.is_empty() && self.suspects.is_suspect(&Fingerprint::from(call.content))
+    }
+
+    /// The servers that the request must not be sent to: those that it was sent to, and those that are
+    /// running another suspect request if it is `suspect` itself.
+    pub(super) fn excluded_servers(&self, tried: &ServerNames, suspect: bool) -> ServerNames {
+        let mut excluded = tried.clone();
+        if suspect {
+            excluded.extend(self.suspects.occupied());
+        }
+        excluded
+    }
+
     /// Records what the end of the attempt at `pick` shows about the request: an answer clears it, and
     /// a crash of its server makes it suspect. The request waits for the result, so that it is not
     /// sent to a further server before.
--- a/crates/core/src/direct/suspects/mod.rs
+++ b/crates/core/src/direct/suspects/mod.rs
@@ -9,6 +9,10 @@
 //! survived. So a request that was in flight at servers that failed for another reason is not held
 //! back, even if a caller repeats it all the time.
 //!
+//! After a crash, an entry repeats all requests that were in flight at the server at the same moment. It
+//! sends each of them to a server of its own, so that only the one that is the cause gets a further
+//! crash.
+//!
 //! Entries exchange their records, since each of them may see only one of the crashes. Merging two
 //! records is commutative and idempotent, so it doesn't matter how often and in which order they
 //! arrive.
@@ -24,8 +28,10 @@
 use tokio::sync::Notify;
 
 use self::record::CRASH_MEMORY;
+use crate::direct::fleet::ServerNames;
 use crate::lock::Mutex;
 use crate::lock::Rank;
+use crate::name;
 use crate::time::Instant;
 
 pub use self::fingerprint::Fingerprint;
@@ -64,6 +70,8 @@
     records: Mutex<HashMap<Fingerprint, Record>>,
     /// When this entry last tried each request that was held back.
     trials: Mutex<HashMap<Fingerprint, Instant>>,
+    /// The servers that are running a suspect request of this entry.
+    occupied: Mutex<Vec<name::Vm>>,
     /// Changed records that all entries are to be told at once.
     urgent: Mutex<Vec<Suspect>>,
     /// Notified when there are urgent records.
@@ -75,6 +83,7 @@
         Self {
             records: Mutex::new(Rank::Ledger, HashMap::new()),
             trials: Mutex::new(Rank::Ledger, HashMap::new()),
+            occupied: Mutex::new(Rank::Ledger, Vec::new()),
             urgent: Mutex::new(Rank::Ledger, Vec::new()),
             has_urgent: Notify::new(),
         }
@@ -87,6 +96,27 @@
         self.records.lock().is_empty()
     }
 
+    /// Whether a server has crashed under the request, and none has answered it since.
+    pub fn is_suspect(&self, request: &Fingerprint) -> bool {
+        self.records.lock().get(request).is_some_and(|record| record.crash_count() > 0)
+    }
+
+    /// The servers that are running a suspect request of this entry.
+    pub fn occupied(&self) -> ServerNames {
+        self.occupied.lock().iter().cloned().collect()
+    }
+
+    /// Reserves `server` for one suspect request until the result is dropped; `None` if it is running
+    /// another one.
+    pub fn occupy(&self, server: &name::Vm) -> Option<Occupancy<'_>> {
+        let mut occupied = self.occupied.lock();
+        if occupied.contains(server) {
+            return None;
+        }
+        occupied.push(server.clone());
+        Some(Occupancy { suspects: self, server: server.clone() })
+    }
+
     /// Number of requests that are held back.
     pub fn held_count(&self, now: Instant) -> usize {
         let records = self.records.lock();
@@ -209,6 +239,19 @@
     }
 }
 
+/// A server that is reserved for one suspect request.
+#[derive(Debug)]
+pub struct Occupancy<'a> {
+    suspects: &'a Suspects,
+    server: name::Vm,
+}
+
+impl Drop for Occupancy<'_> {
+    fn drop(&mut self) {
+        self.suspects.occupied.lock().retain(|server| *server != self.server);
+    }
+}
+
 /// Removes records whose last change is long ago.
 fn remove_old(records: &mut HashMap<Fingerprint, Record>, now: Instant) {
     records.retain(|_, record| now.since(record.changed_at()) < CRASH_MEMORY);
--- a/crates/core/tests/direct_suspects.rs
+++ b/crates/core/tests/direct_suspects.rs
@@ -277,3 +277,22 @@
         prop_assert_eq!(merged(&records), merged(&other));
     }
 }
+
+/// Guards against a proper request that is sent to the same servers as one that crashes them, because
+/// the entry repeats both at the same moment after the first crash. It would get as many crashes, and
+/// be held back with it.
+#[tokio::test(start_paused = true)]
+async fn requests_are_repeated_together() {
+    for seed in 0..60 {
+        let doubles = crashing_servers();
+        let entry = entry(&doubles, seed);
+        let spawn = |path: &'static str| {
+            let entry = Arc::clone(&entry);
+            tokio::spawn(async move { serve(&entry, &content_at(path), true).await })
+        };
+        let (crashing, proper) = (spawn(CRASHING_PATH), spawn("/r/proper"));
+        assert!(!matches!(crashing.await.unwrap().outcome, Outcome::Answered(_)));
+        let outcome = proper.await.unwrap().outcome;
+        assert!(matches!(outcome, Outcome::Answered(_)), "seed {seed}: {outcome:?}");
+    }
+}
