Believe a refusal without an id only as the first answer on a connection

Report of other operators: a faulty server writes an earlier refusal once more on a kept connection, and clients are told "not run" for requests that a server has run. Shown here with raw bytes against a process: a server that is full refuses a probe, whose answer has no id, and the connection is kept; a copy of that refusal before the answer to the next request was taken for it. The caller got 503 for an order that had run, and one that may run once could have gone to a second server.

A refusal without an id now counts only as the first answer on its connection; later ones count as the answer to another request, after which the request may have run.

--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -51,6 +51,11 @@
 /// Largest head of an answer in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Extension of an answer: its connection carried earlier exchanges, so that it may be a copy of the
+/// answer to one of them.
+#[derive(Debug, Clone, Copy)]
+pub struct OnReusedConnection;
+
 /// Whether the request of an exchange may have been sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SendState {
@@ -113,7 +118,8 @@
     /// Sends a request and returns its complete answer, with at most `max_body_bytes` of body. The
     /// connection is reused only if `is_reusable` accepts the answer's header fields once it is
     /// complete: an answer to another request means that requests and answers on the connection no
-    /// longer correspond.
+    /// longer correspond. The answer has the extension [`OnReusedConnection`] if the connection was
+    /// used before.
     ///
     /// # Errors
     ///
@@ -184,7 +190,12 @@
             let (mut sender, reused) = self.connection(address).await?;
             *send_state = SendState::MaybeSent;
             match sender.send(request).await {
-                Ok(response) => return Ok((response, sender)),
+                Ok(mut response) => {
+                    if reused {
+                        response.extensions_mut().insert(OnReusedConnection);
+                    }
+                    return Ok((response, sender));
+                }
                 Err(mut failure) => {
                     // hyper returns the request only if it has not begun to write it.
                     let Some(unsent) = failure.take_message() else {
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -17,6 +17,7 @@
 use crate::clock::BootClock;
 use crate::exchange::Client;
 use crate::exchange::Error;
+use crate::exchange::OnReusedConnection;
 use crate::exchange::request;
 use crate::exchange::upload::RequestBody;
 use crate::exchange::upload::Upload;
@@ -184,12 +185,15 @@
     })
 }
 
-/// Whether the answer belongs to another request. An answer without an id belongs to the attempt
-/// only if it says that the server did not run the request.
+/// Whether the answer belongs to another request, or may do so. An answer without an id belongs to the
+/// attempt only if it says that the server did not run the request, and is the first one on its
+/// connection: a later one may be a copy of the refusal of an earlier request or probe.
 fn is_foreign(attempt: &Attempt<'_, Upload>, response: &Response<Bytes>) -> bool {
     match header_text(response.headers(), platform_http::REQUEST_ID) {
         Some(id) => id != attempt.id,
-        None => !has_not_run(response),
+        None => {
+            !has_not_run(response) || response.extensions().get::<OnReusedConnection>().is_some()
+        }
     }
 }
 
