Start the shares of a rate limit at random parts of a token

When all entries start together, each server that names a limit gets one from each of them.

The first token of an entry for a server is now spread evenly by its rendezvous score, so that all entries together send at the rate of the limit from the start.

--- a/crates/core/src/direct/fleet/limited.rs
+++ b/crates/core/src/direct/fleet/limited.rs
@@ -91,11 +91,15 @@
     }
 }
 
+/// Number of values of [`first_tokens`].
+const TOKEN_STEPS: u16 = 1_000;
+
 /// Updates the limit of `server` by an answer that arrived at `now`. An unreadable limit extends
 /// the validity of the one before, because the server still names one.
 pub(super) fn record(
     limited: &mut Option<Limited>,
     server: &name::Vm,
+    score: u64,
     named: NamedLimit,
     now: Instant,
 ) {
@@ -109,7 +113,11 @@
         }
         (NamedLimit::Limit(rate), None) => {
             log_change(server, "named", rate);
-            *limited = Some(Limited { rate, named_at: now, bucket: Bucket::new(now) });
+            *limited = Some(Limited {
+                rate,
+                named_at: now,
+                bucket: Bucket::new(first_tokens(score), now),
+            });
         }
         (NamedLimit::Unreadable, Some(known)) => known.named_at = now,
         (NamedLimit::None, Some(known)) if !known.holds(now) => {
@@ -120,6 +128,12 @@
     }
 }
 
+/// The tokens that this entry starts with, from 0 to 1, by its rendezvous `score` for the server. Only
+/// the low digits count: the owners are those with the highest scores.
+fn first_tokens(score: u64) -> f64 {
+    (score % u64::from(TOKEN_STEPS)) as f64 / f64::from(TOKEN_STEPS)
+}
+
 fn log_change(server: &name::Vm, state: &str, rate: RateLimit) {
     log::info!("event=rate_limit server={server} state={state} per_s={}", rate.per_second());
 }
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -237,7 +237,8 @@
 
     /// Records what the server says of itself in an answer that arrived at `now`.
     pub(super) fn record_notice(&mut self, notice: &Notice, now: Instant) {
-        limited::record(&mut self.limited, &self.server.name, notice.rate_limit, now);
+        let name = &self.server.name;
+        limited::record(&mut self.limited, name, self.score, notice.rate_limit, now);
         if notice.leaving && !self.leaving {
             log::info!("event=server server={} state=leaving", self.server.name);
             self.leaving = true;
--- a/crates/core/src/direct/rate_limit.rs
+++ b/crates/core/src/direct/rate_limit.rs
@@ -76,9 +76,10 @@
 }
 
 impl Bucket {
-    /// A bucket with one token and no share yet.
-    pub fn new(now: Instant) -> Self {
-        Self { share: 0.0, tokens: 1.0, refilled_at: now }
+    /// A bucket with a part of a token and no share yet. If the parts of all entries spread evenly
+    /// between 0 and 1, the server gets requests at its rate from the start, and no burst of them.
+    pub fn new(tokens: f64, now: Instant) -> Self {
+        Self { share: 0.0, tokens, refilled_at: now }
     }
 
     /// Sets the share from `now` on, in requests per second.
--- a/crates/core/tests/direct_limits.rs
+++ b/crates/core/tests/direct_limits.rs
@@ -163,6 +163,30 @@
     }
 }
 
+/// Guards against entries that each send a request at once when they learn of a limit. 16 entries have
+/// just started, and none knows the others yet.
+#[tokio::test(start_paused = true)]
+async fn all_entries_start_at_once() {
+    let servers = QueueServers::new(4, 6, ms(60));
+    for number in 1..=4 {
+        servers.name_limit(number, NamedLimit::Limit(limit(1.0)));
+    }
+    let entries: Vec<_> = (1..=ENTRIES).map(|number| servers.entry(number, 1)).collect();
+    let begun = tokio::time::Instant::now();
+    let mut tasks = Vec::new();
+    while begun.elapsed() < ms(300) {
+        for entry in &entries {
+            tasks.push(tokio::spawn(serve(Arc::clone(entry), 0, tasks.len())));
+        }
+        tokio::time::sleep(ms(50)).await;
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+    let most = (1..=4).map(|number| servers.arrivals(number).len()).max().unwrap();
+    assert!(most <= 9, "a server got {most} requests in 0.3 s");
+}
+
 /// Guards against a server that stays limited after it has stopped to name a limit.
 #[tokio::test(start_paused = true)]
 async fn limit_ends() {
@@ -206,7 +230,7 @@
 /// Guards against an owner that saves up its share and sends many requests at once.
 #[test]
 fn unused_share_is_not_saved() {
-    let mut bucket = Bucket::new(at(0));
+    let mut bucket = Bucket::new(0.5, at(0));
     bucket.set_share(1.0, at(0));
     let sent = (0..10).filter(|_| bucket.try_send(0, at(60_000))).count();
     assert_eq!(sent, 1);
