--- a/crates/core/src/direct/dispatch/call.rs
+++ b/crates/core/src/direct/dispatch/call.rs
@@ -174,15 +174,6 @@
         None
     }
 
-    /// Waits until it is known whether the last server has crashed. A further attempt must not be made
-    /// before, in case the request was the cause.
-    pub(super) async fn await_crash_probe(&mut self) {
-        if let Some(probe) = self.crash_probe.take() {
-            // The task never panics and is not cancelled.
-            let _ = probe.await;
-        }
-    }
-
     /// Records that the attempt at `pick` is dropped, because another server has answered. It
     /// counts as sent.
     pub(super) fn record_dropped(&mut self, pick: &Pick) {
--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -38,6 +38,7 @@
 use crate::direct::port::Upload;
 use crate::direct::probes;
 use crate::direct::retries;
+use crate::direct::suspects::Occupancy;
 use crate::direct::suspects::Suspects;
 use crate::lock::Mutex;
 use crate::lock::Rank;
@@ -102,6 +103,13 @@
     counts: Counts,
 }
 
+/// A server that was selected for an attempt.
+struct Reservation<'a> {
+    pick: Pick,
+    /// Keeps other suspect requests away from the server, if this request is one.
+    _occupancy: Option<Occupancy<'a>>,
+}
+
 /// Dispatches the requests of an entry.
 #[derive(Debug)]
 pub struct Dispatcher<B, C, R> {
@@ -261,10 +269,36 @@
         };
         self.count_request(call, service);
         loop {
-            progress.await_crash_probe().await;
+            let reservation = match self.reserve_server(call, service, progress).await {
+                Ok(reservation) => reservation,
+                Err(refusal) => return progress.outcome_without_success(refusal),
+            };
+            let pick = &reservation.pick;
+            if let Some(answer) = self.send_with_hedge(call, service, pick, progress).await {
+                return Outcome::Answered(answer);
+            }
+            let upload_begun = call.upload.is_some_and(Upload::has_begun);
+            if upload_begun || progress.may_have_run() && !call.route.kind.is_idempotent() {
+                return progress.outcome_without_success(Refusal::Attempts);
+            }
+            self.await_crash_probe(call, progress).await;
+            if self.clock.now() >= call.deadline() {
+                return progress.outcome_without_success(Refusal::Deadline);
+            }
+        }
+    }
+
+    /// Selects a server for one attempt, and counts the attempt. The error is why there is none.
+    async fn reserve_server(
+        self: &Arc<Self>,
+        call: &Call<'_, B::Upload>,
+        service: &name::Service,
+        progress: &mut Progress,
+    ) -> Result<Reservation<'_>, Refusal> {
+        loop {
             if let Some(hold) = self.hold(call) {
                 progress.unavailable_for = Some(hold);
-                return progress.outcome_without_success(Refusal::Suspect);
+                return Err(Refusal::Suspect);
             }
             let suspect = self.is_suspect(call);
             let excluded = self.excluded_servers(&progress.tried, suspect);
@@ -272,14 +306,14 @@
                 Selection::Pick(pick) => pick,
                 Selection::HeldBack(wait) => {
                     progress.unavailable_for = Some(wait);
-                    return progress.outcome_without_success(Refusal::RateLimit);
+                    return Err(Refusal::RateLimit);
                 }
                 Selection::Refused(refusal, best_expected) => {
                     if refusal == Refusal::QueueFull {
                         self.count_overload(call, service);
                     }
                     progress.best_expected = best_expected;
-                    return progress.outcome_without_success(refusal);
+                    return Err(refusal);
                 }
             };
             let occupancy = suspect.then(|| self.suspects.occupy(&pick.server));
@@ -290,18 +324,9 @@
             }
             if !self.allow_attempt(call, service, progress) {
                 self.release(call, service, &pick);
-                return progress.outcome_without_success(Refusal::Attempts);
-            }
-            if let Some(answer) = self.send_with_hedge(call, service, &pick, progress).await {
-                return Outcome::Answered(answer);
-            }
-            let upload_begun = call.upload.is_some_and(Upload::has_begun);
-            if upload_begun || progress.may_have_run() && !call.route.kind.is_idempotent() {
-                return progress.outcome_without_success(Refusal::Attempts);
-            }
-            if self.clock.now() >= call.deadline() {
-                return progress.outcome_without_success(Refusal::Deadline);
+                return Err(Refusal::Attempts);
             }
+            return Ok(Reservation { pick, _occupancy: occupancy.flatten() });
         }
     }
 
--- a/crates/core/src/direct/dispatch/suspect.rs
+++ b/crates/core/src/direct/dispatch/suspect.rs
@@ -7,6 +7,7 @@
 
 use super::Call;
 use super::Dispatcher;
+use super::call::Progress;
 use crate::direct::fleet::Pick;
 use crate::direct::fleet::ServerNames;
 use crate::direct::port::Backend;
@@ -75,6 +76,23 @@
         }
     }
 
+    /// Waits until it is known whether the last server has crashed, at most until the deadline of the
+    /// request. A further attempt must not be made before, in case the request was the cause.
+    pub(super) async fn await_crash_probe(
+        &self,
+        call: &Call<'_, B::Upload>,
+        progress: &mut Progress,
+    ) {
+        let may_retry = progress.sends < call.route.max_attempts;
+        if let Some(probe) = progress.crash_probe.take().filter(|_| may_retry) {
+            tokio::select! {
+                // The task never panics and is not cancelled.
+                _ = probe => {}
+                () = self.clock.sleep_until(call.deadline()) => {}
+            }
+        }
+    }
+
     /// Records a crash of the server of `pick` if it can no longer be reached. The task goes on if the
     /// caller of the request leaves.
     fn spawn_crash_probe(
