Read the answer of a server that closed before it had the whole request

A server that refuses an upload before it has read the body may close the connection.

Cause: the refusal has arrived, but the HTTP client ends the connection with the failed write of the body's rest ("error writing a body to connection") and never reads it. The refusal proves that the request did not run; without it the caller may not repeat an upload.

Once the other end has closed, the client's stream discards what is written and goes on to read: the answer, or the end of the stream, which counts as a broken connection as before.

--- a/crates/daemon/src/exchange/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -10,6 +10,7 @@
 //! A connection serves one exchange at a time and returns to the pool of idle connections only
 //! after a complete answer. A cancelled or timed-out exchange closes its connection.
 
+mod early_answer;
 mod error;
 mod idle;
 pub mod request;
@@ -30,6 +31,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use tokio::net::TcpStream;
 
+use self::early_answer::EarlyAnswerStream;
 use self::idle::IdlePool;
 use self::idle::Sender;
 use self::stall::StallGuard;
@@ -255,7 +257,7 @@
     nodelay.map_err(|err| Error::NotSent(err.to_string()))?;
     let (requests, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(CountingStream::new(stream, traffic)))
+        .handshake(TokioIo::new(EarlyAnswerStream::new(CountingStream::new(stream, traffic))))
         .await
         .map_err(|err| Error::NotSent(err.to_string()))?;
     let connection = tokio::spawn(async move {
