--- a/crates/core/src/direct/dispatch/suspect.rs
+++ b/crates/core/src/direct/dispatch/suspect.rs
@@ -101,6 +101,11 @@
         service: &name::Service,
         pick: &Pick,
     ) -> JoinHandle<()> {
+        {
+            let mut usage = self.usage.lock();
+            usage.probes.spend(1);
+            usage.counts.probes += 1;
+        }
         let dispatcher = Arc::clone(self);
         let (service, server) = (service.clone(), pick.server.clone());
         let (address, started_ms) = (pick.address, pick.started_ms);
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -235,7 +235,8 @@
         self.backoff_until = Instant::default();
     }
 
-    /// Records what the server says of itself in an answer that arrived at `now`.
+    /// Records what the server says of itself in an answer that arrived at `now`. Answers may arrive
+    /// in another order than they were sent in, so a pause is only ever extended.
     pub(super) fn record_notice(&mut self, notice: &Notice, now: Instant) {
         let name = &self.server.name;
         limited::record(&mut self.limited, name, self.score, notice.rate_limit, now);
