Order crashes at the same moment alike in all entries

The randomized test of merging found records that differ in the order of two crashes at the same moment, by the order in which they arrived. The process now decides between them.

--- a/crates/core/src/direct/suspects/record.rs
+++ b/crates/core/src/direct/suspects/record.rs
@@ -23,7 +23,7 @@
 const MAX_CRASHES: usize = CRASH_LIMIT + 1;
 
 /// One process of a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerProcess(u64);
 
 impl ServerProcess {
@@ -98,7 +98,7 @@
             Some(known) => known.at = known.at.min(crash.at),
             None => self.crashes.push(crash),
         }
-        self.crashes.sort_by_key(|crash| crash.at);
+        self.crashes.sort_by_key(|crash| (crash.at, crash.process));
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
--- a/crates/core/tests/direct_suspects.rs
+++ b/crates/core/tests/direct_suspects.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod direct_support;
+mod intent_support;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,7 @@
 use crate::direct_support::route;
 use crate::direct_support::server;
 use crate::direct_support::vm;
+use crate::intent_support::deterministic;
 use jackdawpin_core::direct::dispatch::Call;
 use jackdawpin_core::direct::dispatch::Completion;
 use jackdawpin_core::direct::peers::HEARTBEAT_INTERVAL;
@@ -254,6 +256,8 @@
 }
 
 proptest! {
+    #![proptest_config(deterministic(1_024))]
+
     /// Guards against entries that come to different results because records reach them in another
     /// order, or more than once.
     #[test]
@@ -328,3 +332,20 @@
     tokio::time::sleep(ms(500)).await;
     assert!(!entry.suspects.is_empty(), "the crash must be recorded all the same");
 }
+
+/// Guards against the same for two servers that crashed at the same moment.
+#[test]
+fn crashes_at_the_same_moment() {
+    let crash = |number| Crash { process: process(number), at: at(1_000) };
+    let record = |numbers: [u64; 2]| Record {
+        crashes: numbers.into_iter().map(crash).collect(),
+        answered_at: None,
+    };
+    let request = Fingerprint::from(&content());
+    let merged = |record: &Record| {
+        let suspects = Suspects::default();
+        suspects.merge(request, record, at(1_000));
+        suspects.to_share(1, at(1_000))
+    };
+    assert_eq!(merged(&record([1, 2])), merged(&record([2, 1])));
+}
