--- a/crates/core/src/direct/dispatch/retry_after.rs
+++ b/crates/core/src/direct/dispatch/retry_after.rs
@@ -16,12 +16,13 @@
 /// Shortest pause after any other refusal, in which an overload may pass.
 const MIN_OVERLOAD_PAUSE: Duration = Duration::from_millis(120);
 
-/// Longest pause before the random part. Another entry may have a server sooner than this one.
+/// Longest pause before the random part, unless all entries would refuse the request. Another entry may
+/// have a server sooner than this one.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// The pause before the caller sends a request again that was refused for this reason, spread at
-/// random between its shortest value and twice that. If the servers turn requests away
-/// for a known time, `unavailable_for`, the pause is not shorter.
+/// random between its shortest value and twice that. If it is known that the request would be refused
+/// for the time `unavailable_for`, the pause is not shorter.
 pub(super) fn pause(
     refusal: Refusal,
     unavailable_for: Option<Duration>,
--- a/crates/core/src/direct/fleet/limited.rs
+++ b/crates/core/src/direct/fleet/limited.rs
@@ -16,6 +16,9 @@
 /// it in each of its answers, such as those of a proxy in front of it.
 const LIMIT_VALIDITY: Duration = Duration::from_secs(1);
 
+/// Number of values that [`first_tokens`] may have.
+const TOKEN_STEPS: u16 = 1_000;
+
 /// The rate limit of a server.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Limited {
@@ -91,9 +94,6 @@
     }
 }
 
-/// Number of values of [`first_tokens`].
-const TOKEN_STEPS: u16 = 1_000;
-
 /// Updates the limit of `server` by an answer that arrived at `now`. An unreadable limit extends
 /// the validity of the one before, because the server still names one.
 pub(super) fn record(
