--- a/crates/core/src/direct/suspects/fingerprint.rs
+++ b/crates/core/src/direct/suspects/fingerprint.rs
@@ -15,8 +15,8 @@
 /// requests that do the same.
 const FIELDS: [&str; 2] = ["host", "authorization"];
 
-/// Identifies requests of the same caller that do the same: with the same method, host, path and
-/// body. A cryptographic hash, so that no caller can find a request with the fingerprint of another
+/// Identifies requests of the same caller that do the same: with the same method, host, path,
+/// credentials and body. A cryptographic hash, so that no caller can find a request with the fingerprint of another
 /// caller's, and so that entries need not exchange or keep the requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Fingerprint([u8; LEN]);
--- a/crates/core/src/direct/suspects/mod.rs
+++ b/crates/core/src/direct/suspects/mod.rs
@@ -42,7 +42,7 @@
 pub use self::record::Record;
 pub use self::record::ServerProcess;
 
-/// Largest number of records. A caller can only add one by crashing a server.
+/// Largest number of records. One is added only if a server cannot be reached after an attempt.
 const MAX_RECORDS: usize = 1_024;
 
 /// Number of crashes from which on a record is sent to all entries at once. A single crash of a
