Log when no server of a service answers any more, and when one does again

Whether a refusal with no_server comes from a service without servers, from back-off or from a cut of the links could not be told from the log. The new event=contact line and the gauge jackdawpin_services_lost show whether any server of a service answers, and when the first answer came after a cut. No decision reads it yet.

--- a/crates/core/src/direct/fleet/attempt.rs
+++ b/crates/core/src/direct/fleet/attempt.rs
@@ -28,6 +28,7 @@
     /// Records what the server of `pick` said of itself in its answer.
     pub fn record_notice(&self, service: &str, pick: &Pick, notice: &Notice, now: Instant) {
         let mut table = self.table.lock();
+        table.record_contact(service, now);
         if let Some(state) = table.state(service, pick.server.as_str()) {
             state.record_notice(notice, now);
         }
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod candidate;
 mod choice;
+mod contact;
 mod curve;
 mod limited;
 mod owned;
@@ -174,6 +175,10 @@
         now: Instant,
     ) {
         let mut table = self.table.lock();
+        match probe {
+            Some(_) => table.record_contact(service, now),
+            None => table.record_no_contact(service, vm, now),
+        }
         let Some(pool) = table.pools.get_mut(service) else {
             return;
         };
--- a/crates/core/src/direct/fleet/pool.rs
+++ b/crates/core/src/direct/fleet/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::contact::Contact;
 use super::curve::Curve;
 use super::queue::Queue;
 use super::server::ServerState;
@@ -13,6 +14,7 @@
     servers: Vec<ServerState>,
     /// Position of each server in `servers`. A request looks servers up by name several times.
     positions: HashMap<name::Vm, usize>,
+    pub(super) contact: Contact,
     pub(super) curve: Curve,
     pub(super) queue: Queue,
 }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -38,6 +38,7 @@
     servers: Gauge,
     servers_usable: Gauge,
     servers_limited: Gauge,
+    services_lost: Gauge,
     requests_held: Gauge,
     entries: Gauge,
     config_version: Gauge,
@@ -62,6 +63,7 @@
             servers: Gauge::default(),
             servers_usable: Gauge::default(),
             servers_limited: Gauge::default(),
+            services_lost: Gauge::default(),
             requests_held: Gauge::default(),
             entries: Gauge::default(),
             config_version: Gauge::default(),
@@ -95,6 +97,7 @@
         gauge("servers", "servers known", &self.servers);
         gauge("servers_usable", "servers that may receive work", &self.servers_usable);
         gauge("servers_limited", "servers that name a rate limit", &self.servers_limited);
+        gauge("services_lost", "services none of whose servers answers", &self.services_lost);
         gauge("requests_held", "requests held back after crashes", &self.requests_held);
         gauge("entries", "live entries, this one included", &self.entries);
         gauge("config_version", "version of the configuration in force", &self.config_version);
@@ -144,6 +147,7 @@
         self.servers.set(signed(servers as u64));
         self.servers_usable.set(signed(usable as u64));
         self.servers_limited.set(signed(dispatcher.fleet.limited_count(now) as u64));
+        self.services_lost.set(signed(dispatcher.fleet.lost_services().len() as u64));
         self.requests_held.set(signed(dispatcher.suspects.held_count(now) as u64));
         self.entries.set(signed(dispatcher.peers.live_count(now) as u64));
         self.config_version.set(dispatcher.config().map_or(0, |config| signed(config.version)));
