--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front/mod.rs
@@ -1,22 +1,30 @@
 //! Serves the requests of callers: reads a request, has the dispatcher serve it, and returns the
 //! answer of a server or a refusal.
 
+mod discard;
+mod parts;
+
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::HeaderName;
 use http::HeaderValue;
 use http::StatusCode;
 use http::request::Parts;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use motore::service::Service;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use self::discard::discard_rest;
+use self::discard::discard_upload;
+use self::parts::caller_timeout;
+use self::parts::content;
+use self::parts::header_text;
+use self::parts::host;
+use self::parts::is_large_head;
 use super::Dispatcher;
 use super::answer::status;
 use super::own_answer::OwnAnswer;
@@ -48,12 +56,6 @@
 /// Time within which the body of a request must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time for which the rest of a body is read and discarded after its read has failed.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Time for which the answer to an upload waits for the rest of its body.
-const UPLOAD_REST_TIME: Duration = Duration::from_millis(100);
-
 /// Time for which a request waits for the first configuration. A restarted process has it within
 /// tens of milliseconds, which is sooner than a refused caller would retry.
 const CONFIG_TIMEOUT: Duration = Duration::from_millis(150);
@@ -264,74 +266,6 @@
     }
 }
 
-/// Reads and discards the rest of a body, for a limited time.
-async fn discard_rest(body: &mut Incoming) {
-    let rest = async { while body.frame().await.is_some_and(|frame| frame.is_ok()) {} };
-    // A caller that sends for longer loses the answer.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
-}
-
-/// Reads and discards the rest of an upload: the caller could lose the answer if its connection were
-/// closed with unread bytes. Most of the rest is under way, so this waits a short time for it; what a
-/// slow caller still sends is discarded while the answer goes out.
-async fn discard_upload(upload: Upload) {
-    if upload.has_ended() {
-        return;
-    }
-    let discarding = tokio::spawn(async move {
-        // A caller that sends for longer loses the answer.
-        let _ = tokio::time::timeout(DISCARD_TIMEOUT, upload.discard_rest()).await;
-    });
-    let _ = tokio::time::timeout(UPLOAD_REST_TIME, discarding).await;
-}
-
-/// The host that a request names; empty if there is none.
-fn host(parts: &Parts) -> &str {
-    headers::text(&parts.headers, &http::header::HOST).unwrap_or_default()
-}
-
-/// The value of the header field `name`, if it is there and is text.
-fn header_text<'a>(parts: &'a Parts, name: &'static str) -> Option<&'a str> {
-    headers::text(&parts.headers, &HeaderName::from_static(name))
-}
-
-/// The time for which the caller waits, if a valid header field says so.
-fn caller_timeout(parts: &Parts, id: &str) -> Option<Duration> {
-    let value = parts.headers.get(platform_http::TIME_LEFT)?;
-    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
-    if millis.is_none() {
-        log::warn!(
-            "event=request id={id} field={} error=\"cannot read {value:?}\"",
-            platform_http::TIME_LEFT
-        );
-    }
-    millis.map(Duration::from_millis)
-}
-
-/// Whether a head has more than `limit` bytes in each way to count them. The platform does not say
-/// whether the request line counts, so that the line and the fields are held to the limit each.
-fn is_large_head(parts: &Parts, limit: usize) -> bool {
-    // The space after the colon is optional, and the parser does not tell whether it was there.
-    const FIELD_OVERHEAD: usize = ":\r\n".len();
-    let target = parts.uri.path_and_query().map_or(1, |target| target.as_str().len());
-    let line = parts.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
-    let fields = parts.headers.iter();
-    let field_bytes: usize =
-        fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_OVERHEAD).sum();
-    line.max(field_bytes) > limit
-}
-
-/// The parts of a request that its server receives.
-fn content(parts: &Parts, body: Bytes) -> Content {
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    Content {
-        method: parts.method.as_str().into(),
-        path: path.into(),
-        headers: headers::forwarded_except(&parts.headers, &[]),
-        body,
-    }
-}
-
 /// The response to a request that was served or refused by the dispatcher.
 fn completion_response(completion: Completion) -> Response<Full<Bytes>> {
     match completion.outcome {
