--- a/crates/core/src/direct/dispatch/call.rs
+++ b/crates/core/src/direct/dispatch/call.rs
@@ -1,6 +1,7 @@
 //! A request in the dispatcher: its limits, its attempts so far, and its end.
 
 use std::fmt;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -11,6 +12,7 @@
 use crate::direct::config::Route;
 use crate::direct::fleet::Pick;
 use crate::direct::fleet::ServerNames;
+use crate::direct::port::ForwardEnd;
 use crate::direct::port::Verdict;
 use crate::name;
 use crate::outcome::Answer;
@@ -48,6 +50,19 @@
     pub content: &'a Content,
     /// The body, if it is passed on as it arrives.
     pub upload: Option<&'a U>,
+    /// The entry that passed the request on, if it did not come from its caller.
+    pub origin: Option<Origin<'a>>,
+}
+
+/// What the entry that passed a request on has decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin<'a> {
+    /// That entry.
+    pub entry: Ipv4Addr,
+    /// The service that it chose for the request.
+    pub service: &'a name::Service,
+    /// Servers that the request may still be sent to.
+    pub max_attempts: u32,
 }
 
 impl<U> Call<'_, U> {
@@ -59,6 +74,12 @@
         self.received + timeout.saturating_sub(ANSWER_MARGIN)
     }
 
+    /// Largest number of servers that this entry may send the request to.
+    pub(super) fn max_attempts(&self) -> u32 {
+        let route_limit = self.route.max_attempts.max(1);
+        self.origin.map_or(route_limit, |origin| origin.max_attempts.min(route_limit))
+    }
+
     /// Time left at `now` within which an answer has its full value.
     pub(super) fn time_left(&self, now: Instant) -> Duration {
         self.latency_target().saturating_sub(self.waited + now.since(self.received))
@@ -85,6 +106,21 @@
     }
 }
 
+/// A request that was passed on, as it is logged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForwardRecord {
+    /// The entry that it was passed on to.
+    pub entry: Ipv4Addr,
+    /// [`ForwardEnd::as_str`].
+    pub end: &'static str,
+}
+
+impl fmt::Display for ForwardRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.entry, self.end)
+    }
+}
+
 /// How a request ended, and its attempts.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Completion {
@@ -100,10 +136,14 @@
     pub last_pick: Option<Pick>,
     /// All attempts, in the order in which they ended.
     pub attempts: SmallVec<[AttemptRecord; 2]>,
+    /// The entries that it was passed on to, in this order.
+    pub forwards: SmallVec<[ForwardRecord; 1]>,
     /// The expected time of the best server, if the request was refused because that is too long.
     pub best_expected: Option<Duration>,
     /// How long the caller had already waited when this entry received the request.
     pub waited: Duration,
+    /// Time for which the request is known to be refused, if it was.
+    pub unavailable_for: Option<Duration>,
 }
 
 /// An attempt that has ended.
@@ -132,6 +172,7 @@
     pub(super) hedged: bool,
     pub(super) last_pick: Option<Pick>,
     pub(super) attempts: SmallVec<[AttemptRecord; 2]>,
+    pub(super) forwards: SmallVec<[ForwardRecord; 1]>,
     pub(super) best_expected: Option<Duration>,
     /// The probe of the last server that may have crashed.
     pub(super) crash_probe: Option<JoinHandle<()>>,
@@ -181,6 +222,45 @@
         self.sends += 1;
     }
 
+    /// Records how passing the request on to `entry` ended, after which `sends` attempts of that entry
+    /// may have reached a server. Returns the answer unless it reports an error.
+    ///
+    /// # Errors
+    ///
+    /// The entry refused the request for a reason that holds for all entries.
+    pub(super) fn record_forward(
+        &mut self,
+        entry: Ipv4Addr,
+        end: ForwardEnd,
+        sends: u32,
+    ) -> Result<Option<Answer>, Refusal> {
+        let unusable = end.shows_unusable_entry();
+        self.forwards.push(ForwardRecord { entry, end: end.as_str() });
+        self.sends += sends;
+        match end {
+            ForwardEnd::Answered(answer) if !answer.is_failure() => return Ok(Some(answer)),
+            ForwardEnd::Answered(answer) => self.error_answer = Some(answer),
+            ForwardEnd::MayHaveRun(_) => {
+                self.sends += u32::from(sends == 0);
+                self.unknown = true;
+            }
+            ForwardEnd::NotSent => self.unsent += 1,
+            ForwardEnd::Refused(refusal, pause) => {
+                self.not_run += sends;
+                self.unavailable_for = pause;
+                if !unusable {
+                    return Err(refusal);
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// The entries that the request was passed on to.
+    pub(super) fn forwarded_to(&self) -> SmallVec<[Ipv4Addr; 2]> {
+        self.forwards.iter().map(|record| record.entry).collect()
+    }
+
     /// The outcome if no attempt was successful: the error that a server answered, if one did; else
     /// unknown, if a server may have run the request; else `refusal`, as no server ran it.
     pub(super) fn outcome_without_success(&mut self, refusal: Refusal) -> Outcome {
@@ -194,7 +274,9 @@
 
     /// Whether the last attempt ended because its deadline passed.
     fn timed_out(&self) -> bool {
-        self.attempts.last().is_some_and(|last| last.verdict == Verdict::TIMEOUT)
+        let last_forward = self.forwards.last().map(|forward| forward.end);
+        let last = self.attempts.last().map(|attempt| attempt.verdict);
+        last_forward.or(last) == Some(Verdict::TIMEOUT)
     }
 
     pub(super) fn into_completion(
@@ -216,8 +298,10 @@
             hedged: self.hedged,
             last_pick: self.last_pick,
             attempts: self.attempts,
+            forwards: self.forwards,
             best_expected: self.best_expected,
             waited,
+            unavailable_for: self.unavailable_for,
         }
     }
 }
--- a/crates/core/src/direct/dispatch/hedge.rs
+++ b/crates/core/src/direct/dispatch/hedge.rs
@@ -110,7 +110,7 @@
         started: Instant,
     ) -> Option<Instant> {
         let may_repeat = call.route.kind.is_idempotent() && !self.is_suspect(call);
-        if !may_repeat || progress.sends + 1 >= call.route.max_attempts {
+        if !may_repeat || progress.sends + 1 >= call.max_attempts() {
             return None;
         }
         let usual_time = self.fleet.usual_time(&call.route.name, Duration::ZERO);
--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -11,7 +11,9 @@
 mod admission;
 mod call;
 mod caller_wait;
+mod forward;
 mod hedge;
+mod origin;
 mod retry_after;
 mod select;
 mod suspect;
@@ -24,6 +26,7 @@
 
 use self::call::Progress;
 use self::caller_wait::CallerTimeouts;
+use self::origin::OriginRequests;
 use self::select::Selection;
 use crate::direct::config::Config;
 use crate::direct::config::Route;
@@ -32,6 +35,8 @@
 use crate::direct::fleet::AttemptEnd;
 use crate::direct::fleet::Fleet;
 use crate::direct::fleet::Pick;
+use crate::direct::forward::Forwards;
+use crate::direct::forward::Hop;
 use crate::direct::freshness::Freshness;
 use crate::direct::peers::Peers;
 use crate::direct::port::Backend;
@@ -52,6 +57,9 @@
 pub use self::call::AttemptRecord;
 pub use self::call::Call;
 pub use self::call::Completion;
+pub use self::call::ForwardRecord;
+pub use self::call::Origin;
+pub use self::origin::OriginGuard;
 
 /// Time before a request's timeout at which its attempts end, so that the answer to the caller
 /// still arrives in time.
@@ -89,6 +97,8 @@
     pub retries: u64,
     /// Probes of servers.
     pub probes: u64,
+    /// Requests passed on to other entries, each as often as that was done.
+    pub forwards: u64,
 }
 
 /// What was used of the retry and probe budgets, the rates of requests, and the counters.
@@ -110,6 +120,12 @@
     _occupancy: Option<Occupancy<'a>>,
 }
 
+/// Where the next attempt of a request goes.
+enum Destination<'a> {
+    Server(Reservation<'a>),
+    Entry(Hop<'a>),
+}
+
 /// Dispatches the requests of an entry.
 #[derive(Debug)]
 pub struct Dispatcher<B, C, R> {
@@ -119,6 +135,10 @@
     pub peers: Peers,
     /// Requests under which servers crashed.
     pub suspects: Suspects,
+    /// The entries that reach services which this one does not.
+    pub forwards: Forwards,
+    /// Requests that other entries have passed on to this one.
+    pub origin_requests: OriginRequests,
     backend: B,
     clock: C,
     random: R,
@@ -142,6 +162,8 @@
             fleet,
             peers,
             suspects: Suspects::default(),
+            forwards: Forwards::default(),
+            origin_requests: OriginRequests::default(),
             backend,
             clock,
             random,
@@ -247,7 +269,8 @@
 
     /// Serves a request. Dropping the future drops the attempts in flight.
     pub async fn serve(self: &Arc<Self>, call: Call<'_, B::Upload>) -> Completion {
-        let call = Call { waited: call.waited.max(self.waited(&call)), ..call };
+        let waited = if call.origin.is_some() { call.waited } else { self.waited(&call) };
+        let call = Call { waited: call.waited.max(waited), ..call };
         let mut progress = Progress::default();
         let outcome = self.run_attempts(&call, &mut progress).await;
         let counts = &mut self.usage.lock().counts;
@@ -264,18 +287,23 @@
         call: &Call<'_, B::Upload>,
         progress: &mut Progress,
     ) -> Outcome {
-        let Some(service) = call.route.next_service() else {
+        let chosen = call.origin.map(|origin| origin.service);
+        let Some(service) = chosen.or_else(|| call.route.next_service()) else {
             return Outcome::Refused(Refusal::NoServer);
         };
         self.count_request(call, service);
         loop {
-            let reservation = match self.reserve_server(call, service, progress).await {
-                Ok(reservation) => reservation,
-                Err(refusal) => return progress.outcome_without_success(refusal),
+            let result = match self.reserve(call, service, progress).await {
+                Ok(Destination::Server(reservation)) => {
+                    Ok(self.send_with_hedge(call, service, &reservation.pick, progress).await)
+                }
+                Ok(Destination::Entry(hop)) => self.forward(call, service, hop, progress).await,
+                Err(refusal) => Err(refusal),
             };
-            let pick = &reservation.pick;
-            if let Some(answer) = self.send_with_hedge(call, service, pick, progress).await {
-                return Outcome::Answered(answer);
+            match result {
+                Ok(Some(answer)) => return Outcome::Answered(answer),
+                Ok(None) => {}
+                Err(refusal) => return progress.outcome_without_success(refusal),
             }
             let upload_begun = call.upload.is_some_and(Upload::has_begun);
             if upload_begun || progress.may_have_run() && !call.route.kind.is_idempotent() {
@@ -288,6 +316,45 @@
         }
     }
 
+    /// Selects where the next attempt goes, and counts it. The error is why there is nowhere to go.
+    async fn reserve(
+        self: &Arc<Self>,
+        call: &Call<'_, B::Upload>,
+        service: &name::Service,
+        progress: &mut Progress,
+    ) -> Result<Destination<'_>, Refusal> {
+        if let Some(hold) = self.hold(call) {
+            progress.unavailable_for = Some(hold);
+            return Err(Refusal::Suspect);
+        }
+        if let Some(hop) = self.choose_hop(call, service, progress) {
+            return self.reserve_hop(call, service, hop, progress);
+        }
+        let lost = self.fleet.has_lost_contact(service.as_str());
+        if lost && !progress.forwards.is_empty() {
+            return Err(Refusal::NoServer);
+        }
+        match self.reserve_server(call, service, progress).await {
+            Err(Refusal::NoServer) => {
+                let hop = self.choose_hop_after_silence(call, service, progress);
+                self.reserve_hop(call, service, hop.ok_or(Refusal::NoServer)?, progress)
+            }
+            result => result.map(Destination::Server),
+        }
+    }
+
+    /// Counts that the request is passed on.
+    fn reserve_hop<'a>(
+        &self,
+        call: &Call<'_, B::Upload>,
+        service: &name::Service,
+        hop: Hop<'a>,
+        progress: &mut Progress,
+    ) -> Result<Destination<'a>, Refusal> {
+        let allowed = self.allow_attempt(call, service, progress);
+        if allowed { Ok(Destination::Entry(hop)) } else { Err(Refusal::Attempts) }
+    }
+
     /// Selects a server for one attempt, and counts the attempt. The error is why there is none.
     async fn reserve_server(
         self: &Arc<Self>,
@@ -296,10 +363,6 @@
         progress: &mut Progress,
     ) -> Result<Reservation<'_>, Refusal> {
         loop {
-            if let Some(hold) = self.hold(call) {
-                progress.unavailable_for = Some(hold);
-                return Err(Refusal::Suspect);
-            }
             let suspect = self.is_suspect(call);
             let excluded = self.excluded_servers(&progress.tried, suspect);
             let pick = match self.select_server(call, service, &excluded).await {
@@ -320,12 +383,17 @@
             if matches!(occupancy, Some(None)) {
                 // Another suspect request was quicker; this one takes another server.
                 self.release(call, service, &pick);
+                if let Some(hold) = self.hold(call) {
+                    progress.unavailable_for = Some(hold);
+                    return Err(Refusal::Suspect);
+                }
                 continue;
             }
             if !self.allow_attempt(call, service, progress) {
                 self.release(call, service, &pick);
                 return Err(Refusal::Attempts);
             }
+            self.usage.lock().counts.attempts += 1;
             return Ok(Reservation { pick, _occupancy: occupancy.flatten() });
         }
     }
@@ -345,8 +413,12 @@
         usage.caller_timeouts.waited(&call.route.name, timeout, calm)
     }
 
-    /// Counts the request for the retry budget and the arrival rate of its service.
+    /// Counts the request for the retry budget and the arrival rate of its service, unless the entry
+    /// that passed it on has done so.
     fn count_request(&self, call: &Call<'_, B::Upload>, service: &name::Service) {
+        if call.origin.is_some() {
+            return;
+        }
         let limit = self.bounds.lock().retry;
         let now = self.clock.now();
         let mut usage = self.usage.lock();
@@ -357,7 +429,7 @@
 
     /// Counts a request that is refused because all servers are overloaded, if it is a new one.
     fn count_overload(&self, call: &Call<'_, B::Upload>, service: &name::Service) {
-        if call.waited.is_zero() {
+        if call.waited.is_zero() && call.origin.is_none() {
             let now = self.clock.now();
             let mut usage = self.usage.lock();
             usage.demand.entry(service.clone()).or_default().record_refusal(now);
@@ -385,16 +457,13 @@
         service: &name::Service,
         progress: &mut Progress,
     ) -> bool {
-        if progress.sends >= call.route.max_attempts.max(1)
-            || progress.unsent >= call::MAX_UNSENT_ATTEMPTS
-        {
+        if progress.sends >= call.max_attempts() || progress.unsent >= call::MAX_UNSENT_ATTEMPTS {
             return false;
         }
         let retry = progress.has_arrived();
         if retry && !self.take_retry(service) {
             return false;
         }
-        self.usage.lock().counts.attempts += 1;
         true
     }
 
--- a/crates/core/src/direct/dispatch/select.rs
+++ b/crates/core/src/direct/dispatch/select.rs
@@ -127,6 +127,7 @@
             if probed.is_empty() && !last {
                 continue;
             }
+            self.note_silence(call, service);
             considered.extend(probed);
             let now = self.clock.now();
             let criteria = self.criteria(call, service, last, now);
@@ -148,7 +149,7 @@
 
     /// Probes servers that are neither in `considered` nor in `tried`, unless their last load
     /// report is still fresh, and returns their names.
-    async fn probe_round(
+    pub(super) async fn probe_round(
         self: &Arc<Self>,
         service: &name::Service,
         scope: Scope,
@@ -156,9 +157,7 @@
         tried: &ServerNames,
     ) -> ServerNames {
         let now = self.clock.now();
-        let Some(path) =
-            self.config().and_then(|config| Some(config.service(service)?.probe_path.clone()))
-        else {
+        let Some(path) = self.probe_path(service) else {
             return ServerNames::new();
         };
         let mut excluded = considered.clone();
@@ -171,15 +170,33 @@
             .filter(|candidate| candidate.needs_probe)
             .map(|candidate| self.spawn_probe(service, candidate, &path))
             .collect();
-        {
-            let mut usage = self.usage.lock();
-            usage.probes.spend(probes.len());
-            usage.counts.probes += u64::try_from(probes.len()).unwrap_or(0);
-        }
+        self.count_probes(probes.len());
         await_answers(probes).await;
         candidates.into_iter().map(|candidate| candidate.server).collect()
     }
 
+    /// Starts to look for entries that reach `service` if a whole round of probes has brought no
+    /// answer.
+    fn note_silence(&self, call: &Call<'_, B::Upload>, service: &name::Service) {
+        let now = self.clock.now();
+        let since = now.before(FIRST_ANSWER_TIMEOUT);
+        if call.origin.is_none() && !self.fleet.has_answered_since(service.as_str(), since) {
+            self.forwards.want(service, now);
+        }
+    }
+
+    /// The path at which servers of `service` are probed.
+    pub(super) fn probe_path(&self, service: &name::Service) -> Option<Box<str>> {
+        Some(self.config()?.service(service)?.probe_path.clone())
+    }
+
+    /// Counts probes that are sent.
+    pub(super) fn count_probes(&self, count: usize) {
+        let mut usage = self.usage.lock();
+        usage.probes.spend(count);
+        usage.counts.probes += u64::try_from(count).unwrap_or(0);
+    }
+
     /// Number of servers that may be probed at once now.
     fn allowed_probes(&self, now: Instant) -> usize {
         if self.usage.lock().probes.is_refill_due(now) {
@@ -208,7 +225,7 @@
 
     /// Spawns a probe in a task of its own. The task goes on if this request does not wait for it,
     /// so that other requests can use the answer and the connection is kept.
-    fn spawn_probe(
+    pub(super) fn spawn_probe(
         self: &Arc<Self>,
         service: &name::Service,
         candidate: &Candidate,
--- a/crates/core/src/direct/dispatch/suspect.rs
+++ b/crates/core/src/direct/dispatch/suspect.rs
@@ -83,7 +83,7 @@
         call: &Call<'_, B::Upload>,
         progress: &mut Progress,
     ) {
-        let may_retry = progress.sends < call.route.max_attempts;
+        let may_retry = progress.sends < call.max_attempts();
         if let Some(probe) = progress.crash_probe.take().filter(|_| may_retry) {
             tokio::select! {
                 // The task never panics and is not cancelled.
--- a/crates/core/src/direct/fleet/attempt.rs
+++ b/crates/core/src/direct/fleet/attempt.rs
@@ -5,6 +5,7 @@
 use super::Fleet;
 use super::Pick;
 use crate::direct::port::Notice;
+use crate::name;
 use crate::time::Instant;
 
 /// How an attempt ended.
@@ -34,6 +35,13 @@
         }
     }
 
+    /// Records that `server` has said, in an answer that another entry passed on, that it is leaving.
+    pub fn record_leaving(&self, service: &str, server: &name::Vm) {
+        if let Some(state) = self.table.lock().state(service, server.as_str()) {
+            state.record_leaving();
+        }
+    }
+
     /// Records how an attempt ended. An answer updates the usual time of `route` and how servers slow
     /// down, corrected for the load that `pick` reports.
     pub fn finish(&self, service: &str, route: &str, pick: &Pick, end: AttemptEnd, now: Instant) {
--- a/crates/core/src/direct/fleet/contact.rs
+++ b/crates/core/src/direct/fleet/contact.rs
@@ -10,6 +10,7 @@
 use super::Fleet;
 use super::ServerNames;
 use super::pool::Pool;
+use super::server::ServerState;
 use super::table::ServerTable;
 use crate::name;
 use crate::time::Instant;
@@ -29,6 +30,8 @@
     /// Servers that left a probe unanswered since the last answer.
     unanswered: ServerNames,
     lost_at: Option<Instant>,
+    /// When servers were last probed to find out whether contact is back.
+    probed_at: Option<Instant>,
 }
 
 impl Contact {
@@ -74,6 +77,19 @@
         lost.map(|(service, _)| service.clone()).collect()
     }
 
+    /// Whether it is time to probe servers of a lost service again, `interval` after the last time.
+    pub fn start_contact_probe(&self, service: &str, interval: Duration, now: Instant) -> bool {
+        let mut table = self.table.lock();
+        let Some(pool) = table.pools.get_mut(service) else {
+            return false;
+        };
+        let due = pool.contact.probed_at.is_none_or(|at| now.since(at) >= interval);
+        if due {
+            pool.contact.probed_at = Some(now);
+        }
+        due
+    }
+
     /// Whether a server of `service` has answered since `since`.
     pub fn has_answered_since(&self, service: &str, since: Instant) -> bool {
         let table = self.table.lock();
@@ -83,7 +99,8 @@
 }
 
 impl ServerTable {
-    /// Records that a server of `service` has answered.
+    /// Records that a server of `service` has answered. If contact was lost, all its servers may be
+    /// probed again.
     pub(super) fn record_contact(&mut self, service: &str, now: Instant) {
         let Some(pool) = self.pools.get_mut(service) else {
             return;
@@ -91,6 +108,7 @@
         if let Some(lost_for) = pool.contact.record_answer(now) {
             let lost_ms = lost_for.as_millis();
             log::info!("event=contact service={service} state=regained lost_ms={lost_ms}");
+            pool.servers_mut().iter_mut().for_each(ServerState::end_backoff);
         }
     }
 
--- a/crates/core/src/direct/fleet/server.rs
+++ b/crates/core/src/direct/fleet/server.rs
@@ -231,8 +231,7 @@
     /// Records that the server answered a probe, and whether it reports to be healthy.
     pub(super) fn record_health(&mut self, healthy: bool) {
         self.healthy = healthy;
-        self.unanswered = 0;
-        self.backoff_until = Instant::default();
+        self.end_backoff();
     }
 
     /// Records what the server says of itself in an answer that arrived at `now`. Answers may arrive
@@ -240,9 +239,8 @@
     pub(super) fn record_notice(&mut self, notice: &Notice, now: Instant) {
         let name = &self.server.name;
         limited::record(&mut self.limited, name, self.score, notice.rate_limit, now);
-        if notice.leaving && !self.leaving {
-            log::info!("event=server server={} state=leaving", self.server.name);
-            self.leaving = true;
+        if notice.leaving {
+            self.record_leaving();
         }
         if let Some(pause) = notice.pause {
             let pause = pause.min(MAX_PAUSE);
@@ -251,6 +249,20 @@
         }
     }
 
+    /// Records that the server says that it is leaving.
+    pub(super) fn record_leaving(&mut self) {
+        if !self.leaving {
+            log::info!("event=server server={} state=leaving", self.server.name);
+            self.leaving = true;
+        }
+    }
+
+    /// Ends the back-off, since the server was silent because this entry did not reach it.
+    pub(super) fn end_backoff(&mut self) {
+        self.unanswered = 0;
+        self.backoff_until = Instant::default();
+    }
+
     /// The rate limit that the server names.
     pub(super) fn rate_limit(&self, now: Instant) -> Option<RateLimit> {
         self.limited.as_ref().filter(|limited| limited.holds(now)).map(Limited::rate)
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -5,6 +5,9 @@
 //! time, so an entry probes several servers at once and sends the request to the best ([`fleet`],
 //! [`dispatch`]).
 //!
+//! An entry that has lost its links to the servers of a service passes requests on to entries that
+//! reach them ([`forward`]).
+//!
 //! What other entries send at the same moment is estimated ([`contention`]). Changes of the
 //! platform's store reach all entries down trees ([`spread`]).
 //!
@@ -23,6 +26,7 @@
 pub mod contention;
 pub mod dispatch;
 pub mod fleet;
+pub mod forward;
 pub mod freshness;
 pub mod peers;
 pub mod port;
--- a/crates/core/src/direct/peers/live.rs
+++ b/crates/core/src/direct/peers/live.rs
@@ -31,6 +31,21 @@
         std::iter::once(table.own.ip).chain(table.live(now).map(|peer| peer.member.ip)).collect()
     }
 
+    /// The live peers that are not leaving.
+    pub fn staying_peers(&self, now: Instant) -> Vec<Ipv4Addr> {
+        let table = self.table.lock();
+        let members = table.live(now).map(|peer| &peer.member);
+        members.filter(|member| !member.leaving).map(|member| member.ip).collect()
+    }
+
+    /// Whether the live peer at `ip` is in this entry's failure domain; `None` if there is no such peer.
+    pub fn is_near(&self, ip: Ipv4Addr, now: Instant) -> Option<bool> {
+        let table = self.table.lock();
+        let mut members = table.live(now).map(|peer| &peer.member);
+        let member = members.find(|member| member.ip == ip)?;
+        Some(member.domain == table.own.domain)
+    }
+
     /// The rank of this entry among the live ones for `key`, from 0.
     pub fn rank(&self, key: &str, now: Instant) -> usize {
         self.table.lock().rank(now, |member| rendezvous::score(key, member.ip))
--- a/crates/core/src/direct/port.rs
+++ b/crates/core/src/direct/port.rs
@@ -1,6 +1,7 @@
-//! Ports of direct choice: how servers are reached.
+//! Ports of direct choice: how servers are reached, directly or through another entry.
 
 use std::future::Future;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use crate::direct::rate_limit::RateLimit;
 use crate::name;
 use crate::outcome::Answer;
+use crate::outcome::Refusal;
 use crate::request::Content;
 use crate::time::Instant;
 
@@ -119,6 +121,91 @@
     pub deadline: Instant,
 }
 
+/// A request that another entry is to send to a server.
+#[derive(Debug)]
+pub struct Forward<'a, U> {
+    /// The entry that it is passed on to.
+    pub entry: Ipv4Addr,
+    /// The caller's id of the request.
+    pub id: &'a str,
+    /// The service that was chosen for the request.
+    pub service: &'a name::Service,
+    /// Version of the configuration that was used. The other entry needs the same or a later one.
+    pub config_version: u64,
+    /// Servers that the other entry may send the request to.
+    pub max_attempts: u32,
+    /// How long the caller has waited since its first try.
+    pub waited: Duration,
+    /// The part of the request that the server sees.
+    pub content: &'a Content,
+    /// The body, if it is not in `content`.
+    pub upload: Option<&'a U>,
+    /// When the other entry must have answered.
+    pub deadline: Instant,
+}
+
+/// How a forward ended, as far as that shows whether the request ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ForwardEnd {
+    /// A server ran the request and this is its whole answer.
+    Answered(Answer),
+    /// The other entry refused the request, which did not run; it would go on to do so for the time
+    /// that it names, if any.
+    Refused(Refusal, Option<Duration>),
+    /// No byte of the request was sent.
+    NotSent,
+    /// The request may have run. The text is the cause, as a word for the log.
+    MayHaveRun(&'static str),
+}
+
+impl ForwardEnd {
+    /// The end as a word for the log.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Refused(..) => "refused",
+            Self::NotSent => "not_sent",
+            Self::MayHaveRun(cause) => cause,
+        }
+    }
+
+    /// Whether the other entry cannot serve requests for the service, so that a further entry may.
+    pub fn shows_unusable_entry(&self) -> bool {
+        match self {
+            Self::NotSent | Self::MayHaveRun(_) => true,
+            Self::Refused(refusal, _) => matches!(
+                refusal,
+                Refusal::Fenced
+                    | Refusal::Leaving
+                    | Refusal::NotReady
+                    | Refusal::UnknownService
+                    | Refusal::NoServer
+                    | Refusal::Full
+                    | Refusal::Memory
+            ),
+            Self::Answered(_) => false,
+        }
+    }
+}
+
+/// The end of a forward, and what else the other entry says about it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForwardReply {
+    /// How it ended.
+    pub end: ForwardEnd,
+    /// Attempts of the other entry that may have reached a server.
+    pub sends: u32,
+    /// The server that answered, if it says that it is leaving.
+    pub leaving: Option<name::Vm>,
+}
+
+impl From<ForwardEnd> for ForwardReply {
+    /// The end of a forward without a reply of the other entry.
+    fn from(end: ForwardEnd) -> Self {
+        Self { end, sends: 0, leaving: None }
+    }
+}
+
 /// The answer to a probe.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ProbeAnswer {
@@ -132,7 +219,7 @@
     pub notice: Notice,
 }
 
-/// Sends requests and probes to servers.
+/// Sends requests and probes to servers, and requests to entries that reach servers.
 pub trait Backend: Send + Sync + 'static {
     /// Bodies that are passed on as they arrive.
     type Upload: Upload;
@@ -141,6 +228,13 @@
     /// future closes the connection.
     fn send(&self, attempt: Attempt<'_, Self::Upload>) -> impl Future<Output = Reply> + Send;
 
+    /// Passes a request on to another entry and waits for its whole answer, at most until its
+    /// deadline. Dropping the future closes the connection.
+    fn forward(
+        &self,
+        forward: Forward<'_, Self::Upload>,
+    ) -> impl Future<Output = ForwardReply> + Send;
+
     /// Keeps at most `max` idle connections to each server from now on.
     fn set_max_idle(&self, max: usize);
 
--- a/crates/core/src/outcome/mod.rs
+++ b/crates/core/src/outcome/mod.rs
@@ -60,6 +60,30 @@
     }
 }
 
+impl Refusal {
+    /// All reasons.
+    pub const ALL: [Self; 13] = [
+        Self::Fenced,
+        Self::Leaving,
+        Self::NotReady,
+        Self::UnknownService,
+        Self::Invalid,
+        Self::QueueFull,
+        Self::RateLimit,
+        Self::Suspect,
+        Self::Deadline,
+        Self::NoServer,
+        Self::Attempts,
+        Self::Full,
+        Self::Memory,
+    ];
+
+    /// The reason with the code `code`, as its `Display` writes it.
+    pub fn from_code(code: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|refusal| refusal.to_string() == code)
+    }
+}
+
 quick_error! {
     /// Why it is not known whether a request ran.
     #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -53,6 +53,7 @@
         waited: Duration::ZERO,
         content: &content,
         upload: None,
+        origin: None,
     };
     let completion = dispatcher.serve(call).await;
     (completion, dispatcher.clock().now().since(received))
@@ -499,6 +500,7 @@
             waited: Duration::ZERO,
             content: &content,
             upload: Some(&upload),
+            origin: None,
         };
         let completion = dispatcher.serve(call).await;
         answered += u32::from(matches!(completion.outcome, Outcome::Answered(_)));
--- a/crates/core/tests/direct_limits.rs
+++ b/crates/core/tests/direct_limits.rs
@@ -96,6 +96,7 @@
         waited: Duration::ZERO,
         content: &content,
         upload: None,
+        origin: None,
     };
     let completion = entry.serve(call).await;
     Served { priority, completion, took: entry.clock().now().since(received) }
--- a/crates/core/tests/direct_overload.rs
+++ b/crates/core/tests/direct_overload.rs
@@ -211,6 +211,7 @@
         waited: Duration::ZERO,
         content: &content,
         upload: None,
+        origin: None,
     };
     dispatcher.serve(call).await
 }
@@ -343,6 +344,7 @@
                 waited,
                 content: &content,
                 upload: None,
+                origin: None,
             };
             let completion = entry.serve(call).await;
             (completion, entry.clock().now().since(received))
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -34,6 +34,9 @@
 use jackdawpin_core::direct::peers::Peers;
 use jackdawpin_core::direct::port::Attempt;
 use jackdawpin_core::direct::port::Backend;
+use jackdawpin_core::direct::port::Forward;
+use jackdawpin_core::direct::port::ForwardEnd;
+use jackdawpin_core::direct::port::ForwardReply;
 use jackdawpin_core::direct::port::Notice;
 use jackdawpin_core::direct::port::ProbeAnswer;
 use jackdawpin_core::direct::port::Reply;
@@ -199,6 +202,22 @@
     pub crashed: HashMap<SocketAddr, Behaviour>,
     /// Attempts that wait for an answer, by server.
     pub busy: HashMap<SocketAddr, u32>,
+    /// The ends of forwards to each entry; `NotSent` for all others.
+    pub forward_ends: HashMap<Ipv4Addr, ForwardReply>,
+    /// The forwards, in their order.
+    pub forwards: Vec<ForwardSeen>,
+}
+
+/// A request that was passed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForwardSeen {
+    pub entry: Ipv4Addr,
+    pub id: String,
+    pub service: name::Service,
+    pub config_version: u64,
+    pub max_attempts: u32,
+    pub waited: Duration,
+    pub time_left: Duration,
 }
 
 /// A [`Backend`] over server doubles.
@@ -347,6 +366,22 @@
         Reply { verdict, notice: Some(double.notice) }
     }
 
+    async fn forward(&self, forward: Forward<'_, UploadDouble>) -> ForwardReply {
+        let now = CLOCK.with(|clock| *clock.borrow()).unwrap().now();
+        let mut state = self.0.lock().unwrap();
+        state.forwards.push(ForwardSeen {
+            entry: forward.entry,
+            id: forward.id.to_owned(),
+            service: forward.service.clone(),
+            config_version: forward.config_version,
+            max_attempts: forward.max_attempts,
+            waited: forward.waited,
+            time_left: forward.deadline.since(now),
+        });
+        let end = state.forward_ends.get(&forward.entry).cloned();
+        end.unwrap_or_else(|| ForwardEnd::NotSent.into())
+    }
+
     fn set_max_idle(&self, max: usize) {
         self.0.lock().unwrap().max_idle = Some(max);
     }
--- a/crates/core/tests/direct_support/queues.rs
+++ b/crates/core/tests/direct_support/queues.rs
@@ -29,6 +29,9 @@
 use jackdawpin_core::direct::peers::Peers;
 use jackdawpin_core::direct::port::Attempt;
 use jackdawpin_core::direct::port::Backend;
+use jackdawpin_core::direct::port::Forward;
+use jackdawpin_core::direct::port::ForwardEnd;
+use jackdawpin_core::direct::port::ForwardReply;
 use jackdawpin_core::direct::port::NamedLimit;
 use jackdawpin_core::direct::port::Notice;
 use jackdawpin_core::direct::port::ProbeAnswer;
@@ -171,6 +174,10 @@
         Reply { verdict, notice: Some(notice) }
     }
 
+    async fn forward(&self, _: Forward<'_, UploadDouble>) -> ForwardReply {
+        ForwardEnd::NotSent.into()
+    }
+
     fn set_max_idle(&self, _: usize) {}
 
     async fn probe(&self, address: SocketAddr, _: &str, _: Duration) -> Option<ProbeAnswer> {
--- a/crates/core/tests/direct_suspects.rs
+++ b/crates/core/tests/direct_suspects.rs
@@ -83,6 +83,7 @@
         waited: Duration::ZERO,
         content,
         upload: None,
+        origin: None,
     };
     entry.serve(call).await
 }
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -13,6 +13,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 
+use super::forward::ForwardClient;
 use super::notice;
 use crate::clock::BootClock;
 use crate::exchange::Client;
@@ -25,6 +26,8 @@
 use jackdawpin_core::direct::fleet::LoadReport;
 use jackdawpin_core::direct::port;
 use jackdawpin_core::direct::port::Attempt;
+use jackdawpin_core::direct::port::Forward;
+use jackdawpin_core::direct::port::ForwardReply;
 use jackdawpin_core::direct::port::ProbeAnswer;
 use jackdawpin_core::direct::port::Reply;
 use jackdawpin_core::direct::port::Verdict;
@@ -36,21 +39,22 @@
 const MAX_PROBE_ANSWER_BYTES: usize = 16 << 10;
 
 /// Limit on the answer to an attempt in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+pub(super) const MAX_ANSWER_BYTES: usize = 64 << 20;
 
 /// Header fields that the entry sets in each attempt, instead of passing on the caller's.
 const REPLACED_FIELDS: [&str; 2] = [platform_http::TIME_LEFT, platform_http::TARGET_SERVER];
 
-/// HTTP client of the servers.
+/// HTTP client of the servers, and of entries that reach them.
 #[derive(Debug)]
 pub struct ServerClient {
     client: Arc<Client>,
+    entries: ForwardClient,
 }
 
 impl ServerClient {
-    /// Creates an adapter over `client`.
-    pub fn new(client: Arc<Client>) -> Self {
-        Self { client }
+    /// Creates an adapter over `client` that passes requests on through `entries`.
+    pub fn new(client: Arc<Client>, entries: ForwardClient) -> Self {
+        Self { client, entries }
     }
 }
 
@@ -95,6 +99,10 @@
         }
     }
 
+    async fn forward(&self, forward: Forward<'_, Upload>) -> ForwardReply {
+        self.entries.forward(forward).await
+    }
+
     fn set_max_idle(&self, max_idle: usize) {
         self.client.set_max_idle(max_idle);
     }
@@ -205,12 +213,17 @@
 
 /// The verdict that follows from an exchange without a complete answer.
 fn failure_verdict(err: &Error) -> Verdict {
+    failure_cause(err).map_or(Verdict::NotSent, Verdict::MayHaveRun)
+}
+
+/// Why a request may have run that has no complete answer; `None` if it was not sent.
+pub(super) fn failure_cause(err: &Error) -> Option<&'static str> {
     match err {
-        Error::NotSent(_) => Verdict::NotSent,
-        Error::Broken(_) => Verdict::MayHaveRun(Verdict::CONNECTION_BROKEN),
-        Error::Answer(_) => Verdict::MayHaveRun(Verdict::ANSWER_CUT),
-        Error::Large(_) => Verdict::MayHaveRun("answer_too_large"),
-        Error::Timeout => Verdict::MayHaveRun(Verdict::TIMEOUT),
+        Error::NotSent(_) => None,
+        Error::Broken(_) => Some(Verdict::CONNECTION_BROKEN),
+        Error::Answer(_) => Some(Verdict::ANSWER_CUT),
+        Error::Large(_) => Some("answer_too_large"),
+        Error::Timeout => Some(Verdict::TIMEOUT),
     }
 }
 
--- a/crates/daemon/src/gateway/front/discard.rs
+++ b/crates/daemon/src/gateway/front/discard.rs
@@ -15,7 +15,7 @@
 const UPLOAD_REST_TIME: Duration = Duration::from_millis(100);
 
 /// Reads and discards the rest of a body, for a limited time.
-pub(super) async fn discard_rest(body: &mut Incoming) {
+pub(in crate::gateway) async fn discard_rest(body: &mut Incoming) {
     let rest = async { while body.frame().await.is_some_and(|frame| frame.is_ok()) {} };
     // A caller that sends for longer loses the answer.
     let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
--- a/crates/daemon/src/gateway/front/mod.rs
+++ b/crates/daemon/src/gateway/front/mod.rs
@@ -18,7 +18,6 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
-use self::discard::discard_rest;
 use self::discard::discard_upload;
 use self::parts::caller_timeout;
 use self::parts::content;
@@ -41,6 +40,7 @@
 use jackdawpin_core::direct::config::Route;
 use jackdawpin_core::direct::dispatch::Call;
 use jackdawpin_core::direct::dispatch::Completion;
+use jackdawpin_core::direct::dispatch::Origin;
 use jackdawpin_core::outcome::Answer;
 use jackdawpin_core::outcome::Outcome;
 use jackdawpin_core::outcome::Refusal;
@@ -50,6 +50,8 @@
 use jackdawpin_core::time::Instant;
 use jackdawpin_platform::http as platform_http;
 
+pub(super) use self::discard::discard_rest;
+
 /// Limit on the body of a request before a configuration is in force, in bytes.
 const DEFAULT_BODY_BYTES: usize = 1 << 20;
 
@@ -64,6 +66,40 @@
 /// a configuration.
 const UNROUTED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// How a request ended at this entry.
+#[derive(Debug)]
+pub(super) enum End {
+    /// The dispatcher served or refused it.
+    Completed(Box<Completion>),
+    /// The entry refused it before that, so it did not run.
+    Refused(Reason),
+    /// Its body could not be passed on to the end, and a server may have run it.
+    CutUpload(Reason),
+}
+
+impl End {
+    /// The response to the caller.
+    fn into_response(self) -> Response<Full<Bytes>> {
+        match self {
+            Self::Completed(completion) => completion_response(*completion),
+            Self::Refused(Reason::Unrouted(refusal)) => {
+                refusal_response(refusal, Some(UNROUTED_RETRY_AFTER))
+            }
+            Self::Refused(reason) | Self::CutUpload(reason) => status(reason.status()),
+        }
+    }
+}
+
+/// A request whose head has been read.
+#[derive(Debug, Clone, Copy)]
+struct Received<'a> {
+    parts: &'a Parts,
+    at: Instant,
+    /// The entry that passed it on, if any, and how long the caller had waited then.
+    origin: Option<Origin<'a>>,
+    waited: Duration,
+}
+
 /// The HTTP service for callers.
 #[derive(Debug)]
 pub(super) struct Front {
@@ -93,12 +129,18 @@
         self.dispatcher.route(host, path)
     }
 
-    /// Serves one request. Errors and refusals become responses, too.
-    async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let received = self.dispatcher.clock().now();
-        let (parts, mut body) = request.into_parts();
+    /// Serves one request, which another entry may have passed on as `origin` says; then its caller
+    /// had `waited` before.
+    pub(super) async fn serve_parts(
+        &self,
+        parts: Parts,
+        mut body: Incoming,
+        origin: Option<Origin<'_>>,
+        waited: Duration,
+    ) -> End {
+        let request = Received { parts: &parts, at: self.dispatcher.clock().now(), origin, waited };
         if let Some(route) = self.upload_route(&parts) {
-            return self.serve_upload(parts, body, &route, received).await;
+            return self.serve_upload(&request, body, &route).await;
         }
         let limits = self.limits();
         let limit = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
@@ -121,7 +163,7 @@
             Err(refusal) => return self.refuse(&parts, Reason::Unrouted(refusal)),
         };
         let content = content(&parts, body);
-        completion_response(self.dispatch(&parts, &route, received, &content, None).await)
+        End::Completed(Box::new(self.dispatch(&request, &route, &content, None).await))
     }
 
     /// The limits in force, if there is a configuration.
@@ -142,61 +184,47 @@
     }
 
     /// Serves a request whose body is passed on as it arrives.
-    async fn serve_upload(
-        &self,
-        parts: Parts,
-        body: Incoming,
-        route: &Route,
-        received: Instant,
-    ) -> Response<Full<Bytes>> {
+    async fn serve_upload(&self, request: &Received<'_>, body: Incoming, route: &Route) -> End {
+        let parts = request.parts;
         let limits = self.limits();
-        if limits.is_some_and(|limits| is_large_head(&parts, limits.head_bytes)) {
-            return self.refuse_upload(&parts, body, Reason::LargeHead).await;
+        if limits.is_some_and(|limits| is_large_head(parts, limits.head_bytes)) {
+            return self.refuse_upload(parts, body, Reason::LargeHead).await;
         }
         let limit = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
         let upload = match Upload::new(body, limit) {
             Ok(upload) => upload,
             Err((_, body)) => {
-                return self.refuse_upload(&parts, body, Reason::LargeBody).await;
+                return self.refuse_upload(parts, body, Reason::LargeBody).await;
             }
         };
-        let content = content(&parts, Bytes::new());
-        let completion = self.dispatch(&parts, route, received, &content, Some(&upload)).await;
-        let response = match upload.error() {
+        let content = content(parts, Bytes::new());
+        let completion = self.dispatch(request, route, &content, Some(&upload)).await;
+        let end = match upload.error() {
             // A part of the body was passed on, so that the outcome tells whether it may have run.
             Some(upload::Error::Large(limit)) if self.may_allow_body_above(limit) => {
-                completion_response(completion)
+                End::Completed(Box::new(completion))
             }
             Some(err) if !matches!(completion.outcome, Outcome::Answered(_)) => {
                 let reason = Reason::from(err);
-                self.request_log.cut_upload(&self.own_answer(&parts, reason, reason.status()));
-                status(reason.status())
+                self.request_log.cut_upload(&self.own_answer(parts, reason));
+                End::CutUpload(reason)
             }
-            _ => completion_response(completion),
+            _ => End::Completed(Box::new(completion)),
         };
         discard_upload(upload).await;
-        response
+        end
     }
 
     /// Refuses an upload before any of it is passed on.
-    async fn refuse_upload(
-        &self,
-        parts: &Parts,
-        mut body: Incoming,
-        reason: Reason,
-    ) -> Response<Full<Bytes>> {
+    async fn refuse_upload(&self, parts: &Parts, mut body: Incoming, reason: Reason) -> End {
         discard_rest(&mut body).await;
         self.refuse(parts, reason)
     }
 
-    /// Counts and logs a request that the entry refuses, and returns the response.
-    fn refuse(&self, parts: &Parts, reason: Reason) -> Response<Full<Bytes>> {
-        let response = match reason {
-            Reason::Unrouted(refusal) => refusal_response(refusal, Some(UNROUTED_RETRY_AFTER)),
-            _ => status(reason.status()),
-        };
-        self.request_log.refuse(&self.own_answer(parts, reason, response.status()));
-        response
+    /// Counts and logs a request that the entry refuses.
+    fn refuse(&self, parts: &Parts, reason: Reason) -> End {
+        self.request_log.refuse(&self.own_answer(parts, reason));
+        End::Refused(reason)
     }
 
     /// Why a request is refused whose body could not be read.
@@ -210,17 +238,12 @@
     }
 
     /// Describes an answer of the entry itself, as it is decided now.
-    fn own_answer<'a>(
-        &self,
-        parts: &'a Parts,
-        reason: Reason,
-        status: StatusCode,
-    ) -> OwnAnswer<'a> {
+    fn own_answer<'a>(&self, parts: &'a Parts, reason: Reason) -> OwnAnswer<'a> {
         OwnAnswer {
             id: header_text(parts, platform_http::REQUEST_ID).unwrap_or_default(),
             host: host(parts),
             path: parts.uri.path(),
-            status,
+            status: reason.status(),
             reason,
             config_version: self.dispatcher.config().map_or(0, |config| config.version),
             proof_age: self.dispatcher.proof_age(self.dispatcher.clock().now()),
@@ -230,17 +253,17 @@
     /// Has the dispatcher serve a request, and logs its end.
     async fn dispatch(
         &self,
-        parts: &Parts,
+        request: &Received<'_>,
         route: &Route,
-        received: Instant,
         content: &Content,
         upload: Option<&Upload>,
     ) -> Completion {
+        let Received { parts, at: received, origin, waited } = *request;
         let id = header_text(parts, platform_http::REQUEST_ID).unwrap_or_default();
         let caller_timeout = caller_timeout(parts, id);
-        let waited = Duration::ZERO;
-        let call = Call { id, route, received, caller_timeout, waited, content, upload };
-        let active_request = self.request_log.start(id, &route.name);
+        let call = Call { id, route, received, caller_timeout, waited, content, upload, origin };
+        let active_request =
+            self.request_log.start(id, &route.name, origin.map(|origin| origin.entry));
         let completion = self.dispatcher.serve(call).await;
         let took = self.dispatcher.clock().now().since(received);
         active_request.end(took, &completion);
@@ -257,7 +280,9 @@
         _: &mut Context,
         request: Request<Incoming>,
     ) -> Result<Self::Response, Infallible> {
-        let mut response = self.serve(request).await;
+        let (parts, body) = request.into_parts();
+        let mut response =
+            self.serve_parts(parts, body, None, Duration::ZERO).await.into_response();
         if self.dispatcher.peers.is_leaving() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(http::header::CONNECTION, close);
@@ -277,7 +302,7 @@
 }
 
 /// Passes the answer of a server on.
-fn server_response(answer: Answer) -> Response<Full<Bytes>> {
+pub(super) fn server_response(answer: Answer) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(answer.body));
     match StatusCode::from_u16(answer.status) {
         Ok(status) => *response.status_mut() = status,
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -1,6 +1,7 @@
 //! Gossip between entries in UDP datagrams: heartbeats, and [`updates`] with the changes of the
 //! platform's store.
 
+mod reach;
 mod updates;
 
 use std::io;
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
 use self::updates::PendingNotice;
@@ -58,6 +60,8 @@
     fetching: AtomicBool,
     /// Notices to be sent on once the changes that they announce are here.
     pending: Mutex<Vec<PendingNotice>>,
+    /// Limits the questions of other entries that are being answered.
+    questions: Arc<Semaphore>,
 }
 
 impl Gossip {
@@ -81,6 +85,7 @@
             sent: Mutex::new(Rank::Connections, [Cursor::default(); 2]),
             fetching: AtomicBool::new(false),
             pending: Mutex::new(Rank::Connections, Vec::new()),
+            questions: Arc::new(Semaphore::new(reach::MAX_PENDING_QUESTIONS)),
         })
     }
 
@@ -96,6 +101,7 @@
             () = self.send_heartbeats(&replica) => {}
             () = self.receive_datagrams(&replica) => {}
             () = self.send_urgent_suspects() => {}
+            () = self.ask_for_services() => {}
         }
     }
 
@@ -201,6 +207,8 @@
             wire::Datagram::Suspects(received) => {
                 suspect_gossip::merge(&self.dispatcher.suspects, &received, now);
             }
+            wire::Datagram::ReachQuery(services) => self.answer_question(&services, from),
+            wire::Datagram::Reach(reach) => self.record_reach(&reach, from),
             wire::Datagram::News(update) => {
                 self.merge_update(&update, from, &[], replica).await;
             }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     pub(super) refused: Counter,
     pub(super) unknown: Counter,
     pub(super) abandoned: Counter,
+    pub(super) forwarded: Counter,
     own_answers: Family<ReasonLabels, Counter>,
     pub(super) in_flight: Gauge,
     pub(super) latency: Histogram,
@@ -35,6 +36,7 @@
     attempts: Gauge,
     repeats: Gauge,
     probes: Gauge,
+    forwards: Gauge,
     servers: Gauge,
     servers_usable: Gauge,
     servers_limited: Gauge,
@@ -52,6 +54,7 @@
             refused: Counter::default(),
             unknown: Counter::default(),
             abandoned: Counter::default(),
+            forwarded: Counter::default(),
             own_answers: Family::default(),
             in_flight: Gauge::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
@@ -60,6 +63,7 @@
             attempts: Gauge::default(),
             repeats: Gauge::default(),
             probes: Gauge::default(),
+            forwards: Gauge::default(),
             servers: Gauge::default(),
             servers_usable: Gauge::default(),
             servers_limited: Gauge::default(),
@@ -81,6 +85,7 @@
         counter("refused", "requests that did not run", &self.refused);
         counter("unknown", "requests that may have run", &self.unknown);
         counter("abandoned", "requests whose caller left", &self.abandoned);
+        counter("forwarded", "requests that other entries passed on", &self.forwarded);
         counter("store_calls", "calls to the platform's store", &self.store_calls);
         counter(
             "store_failures",
@@ -94,6 +99,7 @@
         gauge("attempts", "attempts at servers since the start", &self.attempts);
         gauge("repeats", "attempts beyond the first of a request since the start", &self.repeats);
         gauge("probes", "probes of servers since the start", &self.probes);
+        gauge("forwards", "requests passed on to other entries since the start", &self.forwards);
         gauge("servers", "servers known", &self.servers);
         gauge("servers_usable", "servers that may receive work", &self.servers_usable);
         gauge("servers_limited", "servers that name a rate limit", &self.servers_limited);
@@ -144,6 +150,7 @@
         self.attempts.set(signed(counts.attempts));
         self.repeats.set(signed(counts.retries));
         self.probes.set(signed(counts.probes));
+        self.forwards.set(signed(counts.forwards));
         self.servers.set(signed(servers as u64));
         self.servers_usable.set(signed(usable as u64));
         self.servers_limited.set(signed(dispatcher.fleet.limited_count(now) as u64));
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! The [`Dispatcher`](jackdawpin_core::direct::dispatch::Dispatcher) of the core makes the
 //! decisions. The modules here are adapters around it: [`front`] serves callers; [`directory`]
 //! gives them the addresses of entries and answers the platform's readiness checks; [`backend`]
-//! sends attempts and probes to servers; [`store_reader`] reads the platform's store into
+//! sends attempts and probes to servers; [`forward`] passes requests on to other entries and serves theirs; [`store_reader`] reads the platform's store into
 //! [`store_replica`], which configures the dispatcher; [`gossip`], [`peer_client`] and [`control`]
 //! exchange heartbeats and changes of the store with the other entries; [`reloader`] applies
 //! changes of the settings file. The names and formats of the platform come from
@@ -16,6 +16,7 @@
 mod directory;
 mod early_signals;
 mod error;
+mod forward;
 mod front;
 mod gossip;
 mod metrics;
@@ -35,6 +36,7 @@
 
 pub use self::backend::ServerClient;
 pub use self::error::Error;
+pub use self::forward::ForwardClient;
 pub use self::run::run;
 
 /// The dispatcher with the adapters of this program.
--- a/crates/daemon/src/gateway/notice.rs
+++ b/crates/daemon/src/gateway/notice.rs
@@ -60,7 +60,7 @@
 }
 
 /// Whether one of the fields says that the server is leaving.
-fn is_leaving(address: SocketAddr, headers: &HeaderMap) -> bool {
+pub(super) fn is_leaving(address: SocketAddr, headers: &HeaderMap) -> bool {
     headers.get_all(platform_http::LEAVING).iter().any(|value| {
         let field = platform_http::LEAVING;
         parse_field(address, field, value, platform_http::parse_leaving) == Some(true)
--- a/crates/daemon/src/gateway/planned_stop.rs
+++ b/crates/daemon/src/gateway/planned_stop.rs
@@ -25,17 +25,17 @@
 pub(super) struct PlannedStop {
     pub(super) dispatcher: Arc<Dispatcher>,
     pub(super) gossip: Arc<Gossip>,
-    /// The listener for callers, which ends when its last request has ended.
-    pub(super) callers: JoinHandle<()>,
-    /// Closes the listener for callers.
-    pub(super) callers_stop: CancellationToken,
+    /// The listeners for requests, each of which ends when its last request has ended.
+    pub(super) listeners: [JoinHandle<()>; 2],
+    /// Closes these listeners.
+    pub(super) listeners_stop: CancellationToken,
     /// Time within which the stop must end.
     pub(super) limit: Duration,
 }
 
 impl PlannedStop {
     /// Announces that this entry leaves, so that callers no longer get its address; serves callers
-    /// that still use it until their cached answers expire; then closes the listener and waits for
+    /// that still use it until their cached answers expire; then closes the listeners and waits for
     /// the requests in flight.
     pub(super) async fn run(self) {
         self.dispatcher.peers.leave();
@@ -45,9 +45,11 @@
             (ADDRESS_TTL * MAX_TTL_MULTIPLE).min(run_time.saturating_sub(LAST_REQUESTS_TIME));
         log::info!("event=stop state=leaving stay_ms={}", stay.as_millis());
         tokio::time::sleep(stay).await;
-        self.callers_stop.cancel();
-        match tokio::time::timeout(run_time.saturating_sub(stay), self.callers).await {
-            Ok(Ok(())) => log::info!("event=stop state=ended"),
+        self.listeners_stop.cancel();
+        let [callers, forwards] = self.listeners;
+        let ended = async { tokio::try_join!(callers, forwards) };
+        match tokio::time::timeout(run_time.saturating_sub(stay), ended).await {
+            Ok(Ok(_)) => log::info!("event=stop state=ended"),
             Ok(Err(err)) => log::error!("event=stop state=ended error=\"{err}\""),
             Err(_) => log::warn!("event=stop state=cut reason=\"stop limit\""),
         }
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -4,6 +4,7 @@
 //! load, and all other requests to a higher one. The number of requests that are not logged is
 //! logged.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +52,8 @@
     request_log: &'a RequestLog,
     id: &'a str,
     route: &'a str,
+    /// The entry that passed the request on, if any.
+    origin: Option<Ipv4Addr>,
     started: Instant,
     ended: bool,
 }
@@ -62,9 +65,24 @@
     }
 
     /// Starts to count a request that has a route.
-    pub(super) fn start<'a>(&'a self, id: &'a str, route: &'a str) -> ActiveRequest<'a> {
+    pub(super) fn start<'a>(
+        &'a self,
+        id: &'a str,
+        route: &'a str,
+        origin: Option<Ipv4Addr>,
+    ) -> ActiveRequest<'a> {
         self.metrics.in_flight.inc();
-        ActiveRequest { request_log: self, id, route, started: Instant::now(), ended: false }
+        if origin.is_some() {
+            self.metrics.forwarded.inc();
+        }
+        ActiveRequest {
+            request_log: self,
+            id,
+            route,
+            origin,
+            started: Instant::now(),
+            ended: false,
+        }
     }
 
     /// Counts and logs a request that the entry refuses before the dispatcher serves it.
@@ -96,7 +114,8 @@
     }
 
     /// Logs a request that the dispatcher served or refused.
-    fn write_line(&self, id: &str, route: &str, took: Duration, completion: &Completion) {
+    fn write_line(&self, request: &ActiveRequest<'_>, took: Duration, completion: &Completion) {
+        let (id, route) = (request.id, request.route);
         let (outcome, reason) = match &completion.outcome {
             Outcome::Answered(answer) => ("answered", answer.status.to_string()),
             Outcome::Refused(refusal) => ("refused", refusal.to_string()),
@@ -114,6 +133,13 @@
             line.push_str(if number == 0 { " tries=" } else { "," });
             line.push_str(&attempt.to_string());
         }
+        if let Some(entry) = request.origin {
+            line.push_str(&format!(" from={entry}"));
+        }
+        for (number, forward) in completion.forwards.iter().enumerate() {
+            line.push_str(if number == 0 { " via=" } else { "," });
+            line.push_str(&forward.to_string());
+        }
         if let Some(best) = completion.best_expected {
             line.push_str(&format!(" best_expected_ms={}", best.as_millis()));
         }
@@ -171,7 +197,7 @@
         };
         metrics.latency.observe(took.as_secs_f64());
         if self.request_log.count_line(matches!(completion.outcome, Outcome::Answered(_))) {
-            self.request_log.write_line(self.id, self.route, took, completion);
+            self.request_log.write_line(&self, took, completion);
         }
     }
 }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -23,6 +23,8 @@
 use super::control::Control;
 use super::directory::Directory;
 use super::early_signals::EarlySignals;
+use super::forward::ForwardClient;
+use super::forward::ForwardService;
 use super::front::Front;
 use super::gossip::Gossip;
 use super::gossip::Ports;
@@ -66,6 +68,9 @@
 /// descriptors remain for other uses.
 const DESCRIPTORS_PER_CONNECTION: usize = 2;
 
+/// File descriptors that are planned for each connection of another entry that passes requests on.
+const DESCRIPTORS_PER_FORWARD_CONNECTION: usize = 8;
+
 /// Limits on the connections of callers; the number of connections comes from the settings. Callers
 /// may rely on an idle connection for the operators' idle timeout, so that connections are kept
 /// longer than any such timeout.
@@ -120,8 +125,9 @@
     let stop = CancellationToken::new();
     tokio::spawn(Signals::new().map_err(Error::Signal)?.run(stop.clone()));
     let body_budget = BufferBudget::new(MAX_BODY_BYTES, Gauge::default());
-    let server_client = Arc::new(Client::new(body_budget.clone(), Traffic::default()));
-    let dispatcher = Arc::new(new_dispatcher(&settings, ServerClient::new(server_client)));
+    let client = || Arc::new(Client::new(body_budget.clone(), Traffic::default()));
+    let entries = ForwardClient::new(client(), settings.ip, settings.peer_port);
+    let dispatcher = Arc::new(new_dispatcher(&settings, ServerClient::new(client(), entries)));
     let reloader = Reloader::new(dispatcher.clone(), path)?;
     if early_signals.stop_requested() {
         stop.cancel();
@@ -145,22 +151,30 @@
         ..CALLER_LIMITS
     };
     let request_log = Arc::new(RequestLog::new(metrics.clone()));
-    let front = Front::new(dispatcher.clone(), body_budget, request_log);
+    let front = Arc::new(Front::new(dispatcher.clone(), body_budget, request_log));
     let address = settings.callers_address;
     let counters = metrics.caller_counters();
-    let callers = spawn_listener(address, front, (limits, counters), &callers_stop)?;
+    let callers = spawn_listener(address, front.clone(), (limits, counters), &callers_stop)?;
+    let forwards = ForwardService::new(dispatcher.clone(), front);
+    let forward_limits = Limits {
+        connections: settings.max_descriptors / DESCRIPTORS_PER_FORWARD_CONNECTION,
+        ..CALLER_LIMITS
+    };
+    let forwards = spawn_listener(
+        peer_address,
+        Arc::new(forwards),
+        (forward_limits, Counters::default()),
+        &callers_stop,
+    )?;
     let limits = || (limits, Counters::default());
     let directory = || {
-        Directory::new(
-            dispatcher.clone(),
-            settings.callers_address.port(),
-            settings.max_address_ttl,
-        )
+        let port = settings.callers_address.port();
+        Arc::new(Directory::new(dispatcher.clone(), port, settings.max_address_ttl))
     };
     spawn_listener(settings.directory_address, directory(), limits(), &other_listeners_stop)?;
     spawn_listener(settings.readiness_address, directory(), limits(), &other_listeners_stop)?;
     let control = Control::new(dispatcher.clone(), replica.clone(), metrics.clone());
-    spawn_listener(settings.control_address, control, limits(), &other_listeners_stop)?;
+    spawn_listener(settings.control_address, Arc::new(control), limits(), &other_listeners_stop)?;
 
     let cancel = CancellationToken::new();
     tokio::spawn(gossip.clone().run(replica.clone(), cancel.clone()));
@@ -176,9 +190,16 @@
         settings.first_start
     );
     stop.cancelled().await;
-    PlannedStop { dispatcher, gossip, callers, callers_stop, limit: settings.stop_limit }
-        .run()
-        .await;
+    let listeners = [callers, forwards];
+    PlannedStop {
+        dispatcher,
+        gossip,
+        listeners,
+        listeners_stop: callers_stop,
+        limit: settings.stop_limit,
+    }
+    .run()
+    .await;
     cancel.cancel();
     other_listeners_stop.cancel();
     Ok(())
@@ -201,7 +222,7 @@
 /// Binds `address` and starts to serve its connections with `service` until `stop`.
 fn spawn_listener<S>(
     address: SocketAddr,
-    service: S,
+    service: Arc<S>,
     (limits, counters): (Limits, Counters),
     stop: &CancellationToken,
 ) -> Result<JoinHandle<()>, Error>
@@ -216,6 +237,6 @@
         + 'static,
 {
     let listener = listen::bind(address).map_err(|err| Error::Bind(address, err))?;
-    let serve = listen::serve(listener, Arc::new(service), limits, counters, stop.clone());
+    let serve = listen::serve(listener, service, limits, counters, stop.clone());
     Ok(tokio::spawn(serve))
 }
--- a/crates/daemon/tests/probe.rs
+++ b/crates/daemon/tests/probe.rs
@@ -4,6 +4,7 @@
 
 mod scripted_server;
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,9 +17,17 @@
 use self::scripted_server::response;
 use jackdawpin_core::direct::port::Backend as _;
 use jackdawpin_daemon::exchange::Client;
+use jackdawpin_daemon::gateway::ForwardClient;
 use jackdawpin_daemon::gateway::ServerClient;
 use jackdawpin_platform::http as wire;
 
+/// A client of servers that never passes a request on.
+fn server_client() -> ServerClient {
+    let client = Arc::new(Client::default());
+    let entries = ForwardClient::new(client.clone(), Ipv4Addr::LOCALHOST, 0);
+    ServerClient::new(client, entries)
+}
+
 /// Guards against a server that is treated as warm because the field with its cold time or its name
 /// is invalid.
 #[rstest]
@@ -33,7 +42,7 @@
     let fields = fields.replace("COLD", wire::COLD_FOR).replace("SERVER", wire::SERVER_NAME);
     let script: Vec<Step> = vec![Read, response(200, &fields, "")];
     let server = ScriptedServer::start(vec![script]).await;
-    let servers = ServerClient::new(Arc::new(Client::default()));
+    let servers = server_client();
     let probe = servers.probe(server.address, "/health", TIMEOUT).await;
     let cold_for = probe.map(|probe| probe.report.cold_for);
     assert_eq!(cold_for, cold_ms.map(Duration::from_millis));
@@ -45,7 +54,7 @@
 async fn invalid_load_is_ignored() {
     let fields = format!("{}: busy\r\n", wire::SERVER_LOAD);
     let server = ScriptedServer::start(vec![vec![Read, response(200, &fields, "")]]).await;
-    let servers = ServerClient::new(Arc::new(Client::default()));
+    let servers = server_client();
     let probe = servers.probe(server.address, "/health", TIMEOUT).await.unwrap();
     assert!(probe.healthy);
     assert_eq!(probe.report.load, None);
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -110,6 +110,15 @@
     pub answered_age_ms: Option<u64>,
 }
 
+/// The answer to [`Datagram::ReachQuery`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reach {
+    /// The services, of those asked about, whose servers the sender reaches.
+    pub services: Vec<String>,
+    /// Requests of other entries that the sender is serving.
+    pub load: u32,
+}
+
 /// A message between entries, sent as a UDP datagram and not repeated when it is lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -121,4 +130,9 @@
     Relay(RelayedUpdate),
     /// Requests under which servers crashed. Entries that do not know this message ignore it.
     Suspects(Vec<Suspect>),
+    /// Asks the receiver which of these services it reaches, because the sender does not. Entries that
+    /// do not know this message ignore it.
+    ReachQuery(Vec<String>),
+    /// The answer to it. Its sender takes forwarded requests.
+    Reach(Reach),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,6 +30,7 @@
 pub use self::datagram::GossipHeartbeat;
 pub use self::datagram::Item;
 pub use self::datagram::Member;
+pub use self::datagram::Reach;
 pub use self::datagram::RelayedUpdate;
 pub use self::datagram::RevisionNotice;
 pub use self::datagram::StoreUpdate;
