Refuse requests that may outlast a planned stop

Callers saw: requests that came on kept connections late in the grace time were passed on and their connections broke without an answer when the process ended. Cause: the stop took each request, however long it may last. Evidence: the new test failed on the code before with 'late-0 was passed on and cut'. With this change a request whose deadline is after the end of the stop is refused at once as not run, with a short pause, since other entries serve.

--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -147,6 +147,8 @@
     configured: Notify,
     freshness: Mutex<Freshness>,
     bounds: Mutex<Bounds>,
+    /// When the planned stop cuts what is in flight, once it has begun.
+    stop_at: Mutex<Option<Instant>>,
     usage: Mutex<Usage>,
 }
 
@@ -171,6 +173,7 @@
             configured: Notify::new(),
             freshness: Mutex::new(Rank::Intent, Freshness::new(started)),
             bounds: Mutex::new(Rank::Intent, bounds),
+            stop_at: Mutex::new(Rank::Intent, None),
             usage: Mutex::new(Rank::Ledger, Usage::default()),
         }
     }
@@ -238,6 +241,17 @@
         self.freshness.lock().is_expired(now) && self.peers.is_isolated(now)
     }
 
+    /// Refuses new requests from now on that may last until after `at`, when the planned stop cuts what
+    /// is in flight: an answer after that would be lost, and the request may have run.
+    pub fn set_stop(&self, at: Instant) {
+        *self.stop_at.lock() = Some(at);
+    }
+
+    /// Whether the planned stop may cut the request.
+    fn may_be_cut(&self, call: &Call<'_, B::Upload>) -> bool {
+        self.stop_at.lock().is_some_and(|stop_at| call.deadline() > stop_at)
+    }
+
     /// Applies changed limits.
     pub fn set_bounds(&self, bounds: Bounds) {
         *self.bounds.lock() = bounds;
@@ -287,6 +301,9 @@
         call: &Call<'_, B::Upload>,
         progress: &mut Progress,
     ) -> Outcome {
+        if self.may_be_cut(call) {
+            return Outcome::Refused(Refusal::Leaving);
+        }
         let chosen = call.origin.map(|origin| origin.service);
         let Some(service) = chosen.or_else(|| call.route.next_service()) else {
             return Outcome::Refused(Refusal::NoServer);
--- a/crates/core/src/direct/dispatch/retry_after.rs
+++ b/crates/core/src/direct/dispatch/retry_after.rs
@@ -10,7 +10,8 @@
 use crate::outcome::Refusal;
 use crate::port::Random;
 
-/// Shortest pause after a refusal by servers that have room.
+/// Shortest pause after a refusal that shows no overload: servers with room refused the request, or
+/// this entry is leaving and others serve.
 const MIN_PAUSE: Duration = Duration::from_millis(15);
 
 /// Shortest pause after any other refusal, in which an overload may pass.
@@ -28,8 +29,8 @@
     unavailable_for: Option<Duration>,
     random: &impl Random,
 ) -> Duration {
-    // The attempts were used up: servers were chosen that had room.
-    let least = if refusal == Refusal::Attempts { MIN_PAUSE } else { MIN_OVERLOAD_PAUSE };
+    let overloaded = !matches!(refusal, Refusal::Attempts | Refusal::Leaving);
+    let least = if overloaded { MIN_OVERLOAD_PAUSE } else { MIN_PAUSE };
     let longest = if refusal == Refusal::Suspect { Duration::MAX } else { MAX_PAUSE };
     let shortest = unavailable_for.unwrap_or_default().min(longest).max(least);
     let spread = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX);
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -508,3 +508,20 @@
     }
     assert_eq!(answered, if retried { 10 } else { 0 });
 }
+
+/// Guards against a request that is taken during a planned stop and cut at its end, and against a
+/// refusal of one that ends before that.
+#[tokio::test(start_paused = true)]
+async fn requests_that_may_outlast_a_planned_stop_are_refused() {
+    let doubles = ServerDoubles::default();
+    let dispatcher = entry(&doubles, &[Behaviour::Answer(200, WORK_TIME)], 1);
+    let now = dispatcher.clock().now();
+    dispatcher.set_stop(now + ms(1_000));
+    let (short, _) = serve(&dispatcher, "short", &route(false)).await;
+    assert!(matches!(short.outcome, Outcome::Answered(_)), "{short:?}");
+    tokio::time::sleep(ms(200)).await;
+    let (long, took) = serve(&dispatcher, "long", &route(false)).await;
+    assert_eq!((long.outcome, took), (Outcome::Refused(Refusal::Leaving), Duration::ZERO));
+    assert_eq!(doubles.runs("long"), 0);
+    assert!(long.retry_after.unwrap() <= ms(30), "{:?}", long.retry_after);
+}
--- a/crates/daemon/src/gateway/planned_stop.rs
+++ b/crates/daemon/src/gateway/planned_stop.rs
@@ -9,6 +9,7 @@
 use super::Dispatcher;
 use super::directory::ADDRESS_TTL;
 use super::gossip::Gossip;
+use jackdawpin_core::port::Clock;
 
 /// Multiple of the TTL for which callers may use an answer with this entry's address.
 const MAX_TTL_MULTIPLE: u32 = 3;
@@ -21,6 +22,9 @@
 /// VM, the last log lines and the exit of the process take some time.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time before the end of the process at which the last answer must be ready, so that it is written.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
 /// A planned stop, with what it needs of the entry.
 pub(super) struct PlannedStop {
     pub(super) dispatcher: Arc<Dispatcher>,
@@ -36,11 +40,13 @@
 impl PlannedStop {
     /// Announces that this entry leaves, so that callers no longer get its address; serves callers
     /// that still use it until their cached answers expire; then closes the listeners and waits for
-    /// the requests in flight.
+    /// the requests in flight. Requests that could outlast the stop are refused as not run.
     pub(super) async fn run(self) {
         self.dispatcher.peers.leave();
         self.gossip.announce_leaving().await;
         let run_time = self.limit.saturating_sub(EXIT_MARGIN);
+        let last_answer = run_time.saturating_sub(LAST_ANSWER_MARGIN);
+        self.dispatcher.set_stop(self.dispatcher.clock().now() + last_answer);
         let stay =
             (ADDRESS_TTL * MAX_TTL_MULTIPLE).min(run_time.saturating_sub(LAST_REQUESTS_TIME));
         log::info!("event=stop state=leaving stay_ms={}", stay.as_millis());
