Let others use the places on servers of entries that have lost contact

Cold and limited servers have a few owners. While most entries had lost contact, so had most owners, and their places stayed empty: callers were refused for rate limits that were not used up. Now an entry that is asked for a service leaves the asking one out of its ranking, and the asking one uses no share until after that. An entry that was not asked counts it as before, so there are never more owners.

--- a/crates/core/src/direct/dispatch/select.rs
+++ b/crates/core/src/direct/dispatch/select.rs
@@ -132,12 +132,15 @@
             let now = self.clock.now();
             let criteria = self.criteria(call, service, last, now);
             let name = service.as_str();
-            let owns = |server: &name::Vm, domain: &name::Domain| self.owns(server, domain, now);
-            let owned = self.fleet.owned_cold(name, &considered, now, owns);
+            let rank = |server: &name::Vm, domain: &name::Domain| {
+                self.rank_for_server(service, server, domain, now)
+            };
+            let owned = self.fleet.owned_cold(name, &considered, now, |server, domain| {
+                rank(server, domain) < cold::OWNER_COUNT
+            });
             let entries = self.peers.live_count(now);
             self.fleet.share_limits(name, &considered, now, |server, domain, limit| {
-                let rank = self.peers.rank_for_server(server.as_str(), domain.as_str(), now);
-                rate_limit::share(limit, rank, entries)
+                rate_limit::share(limit, rank(server, domain), entries)
             });
             choice = self.fleet.choose(name, &considered, &criteria, &owned, now, &self.random);
             if matches!(choice, Choice::Pick(_)) {
@@ -285,9 +288,20 @@
         fleet::cold_allowance(cold_rate * bounds.cold_factor + bounds.cold_slack)
     }
 
-    /// Whether this entry is one of the owners of `server`, which send to it while it is cold.
-    fn owns(&self, server: &name::Vm, domain: &name::Domain, now: Instant) -> bool {
-        self.peers.rank_for_server(server.as_str(), domain.as_str(), now) < cold::OWNER_COUNT
+    /// The rank of this entry for `server` among those that reach its service; the first ones share a
+    /// cold or limited server. An entry that has asked others for the service comes last.
+    fn rank_for_server(
+        &self,
+        service: &name::Service,
+        server: &name::Vm,
+        domain: &name::Domain,
+        now: Instant,
+    ) -> usize {
+        if self.forwards.has_given_up_share(service, now) {
+            return usize::MAX;
+        }
+        let without = self.forwards.entries_without(service, now);
+        self.peers.rank_for_server(server.as_str(), domain.as_str(), &without, now)
     }
 }
 
--- a/crates/core/src/direct/forward/mod.rs
+++ b/crates/core/src/direct/forward/mod.rs
@@ -6,6 +6,11 @@
 //! entry answers for itself, and what it says holds for a short time, so an entry that has just
 //! started, leaves, or has lost contact too gets nothing, and a service that no entry reaches
 //! causes no forwards. Without lost contact nobody is asked.
+//!
+//! A question also shows that its sender cannot use its share of a cold or limited server. Entries that
+//! were asked leave the sender out when they rank themselves for such a server, and the sender uses no
+//! share until they no longer do. Since an entry that was not asked counts the sender as before, those
+//! that use a share are never more than without the cut.
 
 mod table;
 
@@ -42,6 +47,9 @@
 /// Names of services, as entries exchange them.
 pub type ServiceNames = SmallVec<[name::Service; 4]>;
 
+/// A short list of entries.
+pub type EntryList = SmallVec<[Ipv4Addr; 16]>;
+
 /// What an entry says of itself when it is asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -57,7 +65,7 @@
     /// The services to ask about.
     pub services: ServiceNames,
     /// The entries to ask.
-    pub entries: SmallVec<[Ipv4Addr; 16]>,
+    pub entries: EntryList,
     /// Time until the next round.
     pub pause: Duration,
 }
@@ -110,9 +118,10 @@
         if services.is_empty() {
             return None;
         }
+        table.record_own_question(&services, now);
         let is_reached = |service| table.reaching(service, &[], now).next().is_some();
         let pause = if services.iter().all(is_reached) { ASK_INTERVAL } else { SEARCH_INTERVAL };
-        let mut entries: SmallVec<[Ipv4Addr; 16]> = table.valid_entries(now).collect();
+        let mut entries: EntryList = table.valid_entries(now).collect();
         entries.truncate(MAX_RENEWED);
         // The lock of the peers has the same rank.
         drop(table);
@@ -124,6 +133,22 @@
         Some(Round { services, entries, pause })
     }
 
+    /// Records that `entry` has asked which of `services` this entry reaches.
+    pub fn record_question(&self, entry: Ipv4Addr, services: &ServiceNames, now: Instant) {
+        self.table.lock().record_question(entry, services, now);
+    }
+
+    /// The entries that have lost contact with `service`, as far as they have asked this one.
+    pub fn entries_without(&self, service: &name::Service, now: Instant) -> EntryList {
+        self.table.lock().entries_without(service, now)
+    }
+
+    /// Whether other entries may take over this entry's share of the servers of `service`, because this
+    /// one has asked them for it.
+    pub fn has_given_up_share(&self, service: &name::Service, now: Instant) -> bool {
+        self.table.lock().has_given_up_share(service, now)
+    }
+
     /// Records what `entry` says of itself. `near` is whether it is in this entry's failure domain.
     pub fn record_report(&self, entry: Ipv4Addr, near: bool, report: Report, now: Instant) {
         self.table.lock().record_report(entry, near, report, now);
--- a/crates/core/src/direct/forward/table.rs
+++ b/crates/core/src/direct/forward/table.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use super::EntryList;
 use super::MAX_SERVICES;
 use super::Report;
 use super::ServiceNames;
@@ -21,6 +22,24 @@
 /// before it counts as more loaded. Bytes within a domain cost less.
 const NEAR_ADVANTAGE: u32 = 2;
 
+/// Time after a question for which its receiver counts the sender as one that has lost contact.
+const QUESTION_VALIDITY: Duration = Duration::from_millis(600);
+
+/// Time after its last question for which an entry uses no share of a server. It covers
+/// [`QUESTION_VALIDITY`] at the receivers and the way of the question to them.
+const SHARE_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Largest number of entries whose questions are remembered.
+const MAX_QUESTIONS: usize = 1_024;
+
+/// A question of another entry.
+#[derive(Debug)]
+struct Question {
+    entry: Ipv4Addr,
+    services: ServiceNames,
+    received_at: Instant,
+}
+
 /// An entry that has been asked.
 #[derive(Debug)]
 struct AskedEntry {
@@ -50,6 +69,10 @@
     /// Services that requests have needed, and when the last one did.
     wanted: Vec<(name::Service, Instant)>,
     entries: Vec<AskedEntry>,
+    /// The last question of each other entry.
+    questions: Vec<Question>,
+    /// The services that this entry has asked about, and when it last did.
+    own_questions: Vec<(name::Service, Instant)>,
 }
 
 impl ForwardTable {
@@ -67,6 +90,38 @@
         self.wanted.iter().take(MAX_SERVICES).map(|(service, _)| service.clone()).collect()
     }
 
+    pub(super) fn record_own_question(&mut self, services: &ServiceNames, now: Instant) {
+        self.own_questions.retain(|(service, _)| !services.contains(service));
+        self.own_questions.extend(services.iter().map(|service| (service.clone(), now)));
+    }
+
+    pub(super) fn has_given_up_share(&self, service: &name::Service, now: Instant) -> bool {
+        let mut questions = self.own_questions.iter();
+        questions.any(|(asked, at)| asked == service && now.since(*at) < SHARE_PAUSE)
+    }
+
+    pub(super) fn record_question(
+        &mut self,
+        entry: Ipv4Addr,
+        services: &ServiceNames,
+        now: Instant,
+    ) {
+        let holds = |question: &Question| now.since(question.received_at) < QUESTION_VALIDITY;
+        self.questions.retain(|question| holds(question) && question.entry != entry);
+        if self.questions.len() < MAX_QUESTIONS {
+            self.questions.push(Question { entry, services: services.clone(), received_at: now });
+        }
+    }
+
+    /// The entries that have asked about `service` a short time ago.
+    pub(super) fn entries_without(&self, service: &name::Service, now: Instant) -> EntryList {
+        let asks = |question: &&Question| {
+            now.since(question.received_at) < QUESTION_VALIDITY
+                && question.services.contains(service)
+        };
+        self.questions.iter().filter(asks).map(|question| question.entry).collect()
+    }
+
     /// The entries whose report holds, the least loaded first.
     pub(super) fn valid_entries(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> {
         let mut valid: Vec<&AskedEntry> =
--- a/crates/core/src/direct/peers/live.rs
+++ b/crates/core/src/direct/peers/live.rs
@@ -48,14 +48,21 @@
 
     /// The rank of this entry among the live ones for `key`, from 0.
     pub fn rank(&self, key: &str, now: Instant) -> usize {
-        self.table.lock().rank(now, |member| rendezvous::score(key, member.ip))
+        self.table.lock().rank(now, &[], |member| rendezvous::score(key, member.ip))
     }
 
-    /// The rank of this entry among the live ones for `server`, from 0. Entries of the server's
-    /// failure domain come first, since they probe it most.
-    pub fn rank_for_server(&self, server: &str, domain: &str, now: Instant) -> usize {
+    /// The rank of this entry among the live ones for `server`, from 0; those in `without` do not
+    /// count. Entries of the server's failure domain come first, since they probe it most.
+    pub fn rank_for_server(
+        &self,
+        server: &str,
+        domain: &str,
+        without: &[Ipv4Addr],
+        now: Instant,
+    ) -> usize {
         let score = |member: &Member| rendezvous::score(server, member.ip);
-        self.table.lock().rank(now, |member| (member.domain.as_str() == domain, score(member)))
+        let key = |member: &Member| (member.domain.as_str() == domain, score(member));
+        self.table.lock().rank(now, without, key)
     }
 
     /// A random live peer whose heartbeat came from itself, if possible one of this entry's failure
@@ -112,11 +119,17 @@
 }
 
 impl MemberTable {
-    /// How many live peers that are not leaving come before this entry; the highest key comes
-    /// first.
-    fn rank<K: Ord>(&self, now: Instant, key: impl Fn(&Member) -> K) -> usize {
+    /// How many live peers that are not leaving and not in `without` come before this entry; the
+    /// highest key comes first.
+    fn rank<K: Ord>(
+        &self,
+        now: Instant,
+        without: &[Ipv4Addr],
+        key: impl Fn(&Member) -> K,
+    ) -> usize {
         let own = key(&self.own);
-        let peers = self.live(now).filter(|peer| !peer.member.leaving);
+        let counts = |peer: &&Peer| !peer.member.leaving && !without.contains(&peer.member.ip);
+        let peers = self.live(now).filter(counts);
         peers.filter(|peer| key(&peer.member) > own).count()
     }
 }
--- a/crates/core/tests/direct_forward.rs
+++ b/crates/core/tests/direct_forward.rs
@@ -11,9 +11,11 @@
 use rstest::rstest;
 
 use crate::direct_support::Behaviour;
+use crate::direct_support::SeededRandom;
 use crate::direct_support::ServerDoubles;
 use crate::direct_support::TestDispatcher;
 use crate::direct_support::UploadDouble;
+use crate::direct_support::at;
 use crate::direct_support::config;
 use crate::direct_support::content;
 use crate::direct_support::dispatcher;
@@ -23,10 +25,14 @@
 use crate::direct_support::route;
 use crate::direct_support::server;
 use crate::direct_support::service;
+use jackdawpin_core::direct::cold;
 use jackdawpin_core::direct::dispatch::Call;
 use jackdawpin_core::direct::dispatch::Completion;
 use jackdawpin_core::direct::dispatch::Origin;
+use jackdawpin_core::direct::forward::Forwards;
 use jackdawpin_core::direct::forward::Report;
+use jackdawpin_core::direct::forward::ServiceNames;
+use jackdawpin_core::direct::peers::Peers;
 use jackdawpin_core::direct::port::ForwardEnd;
 use jackdawpin_core::direct::port::ForwardReply;
 use jackdawpin_core::direct::port::Verdict;
@@ -295,3 +301,53 @@
     entry.peers.leave();
     assert!(entry.report_reached(&desk).await.reached.is_empty());
 }
+
+/// Guards against places on cold and limited servers that nobody uses, because their owners have lost
+/// contact, and against more owners than the server can bear, whichever entries were asked and
+/// while contact comes back: 200 runs.
+#[test]
+fn owners_without_contact_are_replaced_by_as_many() {
+    let desk = ServiceNames::from_iter([service("desk")]);
+    for seed in 0..200 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let entries = random.u8(4..30);
+        let lost: Vec<u8> = (1..=entries).filter(|_| random.u8(..10) < 6).collect();
+        let all_asked = random.bool();
+        let forwards: Vec<Forwards> = (0..entries).map(|_| Forwards::default()).collect();
+        let peers: Vec<Peers> = (1..=entries).map(|own| peers_of(own, entries)).collect();
+        for number in &lost {
+            let own = usize::from(number - 1);
+            forwards[own].want(&desk[0], at(1_000));
+            let random_source = SeededRandom::new(seed);
+            forwards[own].next_round(&peers[own], at(1_000), &random_source).unwrap();
+            for asked in (0..usize::from(entries)).filter(|asked| *asked != own) {
+                if all_asked || random.bool() {
+                    forwards[asked].record_question(peer(*number), &desk, at(1_001));
+                }
+            }
+        }
+        for now in [at(1_100), at(1_550), at(1_650), at(2_100)] {
+            let owners = |number: &u8| {
+                let own = usize::from(number - 1);
+                let without = forwards[own].entries_without(&desk[0], now);
+                !forwards[own].has_given_up_share(&desk[0], now)
+                    && peers[own].rank_for_server("s1", "a", &without, now) < cold::OWNER_COUNT
+            };
+            let owners = (1..=entries).filter(owners).count();
+            assert!(owners <= cold::OWNER_COUNT, "seed {seed} {now:?}: {owners} owners");
+            let able = usize::from(entries) - lost.len();
+            if all_asked && now == at(1_100) {
+                assert_eq!(owners, able.min(cold::OWNER_COUNT), "seed {seed}");
+            }
+        }
+    }
+}
+
+/// What entry `own` knows of itself and of all others.
+fn peers_of(own: u8, entries: u8) -> Peers {
+    let peers = Peers::new(member(own, "a"), Vec::new());
+    for number in (1..=entries).filter(|number| *number != own) {
+        peers.receive(peer(number), [member(number, "a")], at(1_000));
+    }
+    peers
+}
--- a/crates/core/tests/direct_peers.rs
+++ b/crates/core/tests/direct_peers.rs
@@ -278,7 +278,7 @@
             let peer = member(number, domain_of(number));
             entry.receive(peer.ip, [peer], at(1_000));
         }
-        if entry.rank_for_server("s1", "b", at(1_000)) < cold::OWNER_COUNT {
+        if entry.rank_for_server("s1", "b", &[], at(1_000)) < cold::OWNER_COUNT {
             owners += 1;
             assert_eq!(domain_of(own), "b", "entry {own} is in another domain than the server");
         }
@@ -291,7 +291,7 @@
 fn owners_elsewhere_if_the_domain_has_no_entries() {
     let entry = Peers::new(member(1, "a"), Vec::new());
     entry.receive(ip(2), [member(2, "b")], at(1_000));
-    assert!(entry.rank_for_server("s1", "z", at(1_000)) < cold::OWNER_COUNT);
+    assert!(entry.rank_for_server("s1", "z", &[], at(1_000)) < cold::OWNER_COUNT);
 }
 
 /// Guards against an entry that starts and fetches the items from a failed peer, because another
--- a/crates/core/tests/direct_shares.rs
+++ b/crates/core/tests/direct_shares.rs
@@ -38,7 +38,7 @@
                         let peer = member(*number, domain(*number));
                         entry.receive(peer.ip, [peer], at(1_000));
                     }
-                    entry.rank_for_server("s1", "b", at(1_000)) < cold::OWNER_COUNT
+                    entry.rank_for_server("s1", "b", &[], at(1_000)) < cold::OWNER_COUNT
                 })
                 .collect()
         };
--- a/crates/daemon/src/gateway/gossip/reach.rs
+++ b/crates/daemon/src/gateway/gossip/reach.rs
@@ -40,6 +40,7 @@
             return;
         };
         let services = service_names(services);
+        self.dispatcher.forwards.record_question(from, &services, self.now());
         let gossip = Arc::clone(self);
         tokio::spawn(async move {
             let Report { reached, load } = gossip.dispatcher.report_reached(&services).await;
