Count a crash under a request only while other servers answer

Callers saw: after one entry lost its links to all servers, all entries refused a popular lookup as suspect for 10 min.

Cause: a broken attempt whose server does not answer a probe counted as a crash of that server. When the links of an entry are cut, this holds for all its attempts at once, and three of the same request were enough to hold it back everywhere.

Now a crash counts only if another server of the service has answered since the attempt broke, or answers a probe.

--- a/crates/core/src/direct/dispatch/suspect.rs
+++ b/crates/core/src/direct/dispatch/suspect.rs
@@ -9,6 +9,7 @@
 use super::Dispatcher;
 use super::call::Progress;
 use crate::direct::fleet::Pick;
+use crate::direct::fleet::Scope;
 use crate::direct::fleet::ServerNames;
 use crate::direct::port::Backend;
 use crate::direct::port::Verdict;
@@ -18,6 +19,7 @@
 use crate::name;
 use crate::port::Clock;
 use crate::port::Random;
+use crate::time::Instant;
 
 /// Timeout of the probe that shows whether a server has crashed. A crashed one refuses the
 /// connection, or does not answer.
@@ -93,8 +95,8 @@
         }
     }
 
-    /// Records a crash of the server of `pick` if it can no longer be reached. The task goes on if the
-    /// caller of the request leaves.
+    /// Records a crash of the server of `pick` if it can no longer be reached although other servers
+    /// can. The task goes on if the caller of the request leaves.
     fn spawn_crash_probe(
         self: &Arc<Self>,
         request: Fingerprint,
@@ -110,18 +112,34 @@
         let (service, server) = (service.clone(), pick.server.clone());
         let (address, started_ms) = (pick.address, pick.started_ms);
         tokio::spawn(async move {
-            let config = dispatcher.config();
-            let Some(service) = config.as_ref().and_then(|config| config.service(&service)) else {
+            let Some(path) = dispatcher.probe_path(&service) else {
                 return;
             };
-            let probe =
-                dispatcher.backend.probe(address, &service.probe_path, CRASH_PROBE_TIMEOUT).await;
+            let probed_at = dispatcher.clock.now();
+            let probe = dispatcher.backend.probe(address, &path, CRASH_PROBE_TIMEOUT).await;
             let survived = probe
                 .is_some_and(|answer| answer.server.as_ref().is_none_or(|name| *name == server));
-            if !survived {
+            if !survived && dispatcher.has_contact_without(&service, &server, probed_at).await {
                 let process = ServerProcess::new(&server, started_ms);
                 dispatcher.suspects.record_crash(request, process, dispatcher.clock.now());
             }
         })
     }
+
+    /// Whether another server of `service` than `server` has answered since `since`, or answers now. If
+    /// none does, the entry may have lost its links, which shows nothing about `server`.
+    async fn has_contact_without(
+        self: &Arc<Self>,
+        service: &name::Service,
+        server: &name::Vm,
+        since: Instant,
+    ) -> bool {
+        let answered = || self.fleet.has_answered_since(service.as_str(), since);
+        if !answered() {
+            let none = ServerNames::new();
+            let considered = ServerNames::from_iter([server.clone()]);
+            self.probe_round(service, Scope::All, &considered, &none).await;
+        }
+        answered()
+    }
 }
