Refuse a forwarded request whose service the later configuration no longer allows

The entry that passes a request on may have an older configuration and have chosen a service that the route no longer has. The second entry would have sent it there and so gone back behind its own configuration. It refuses such a request as not run now.

--- a/crates/core/src/direct/dispatch/mod.rs
+++ b/crates/core/src/direct/dispatch/mod.rs
@@ -267,9 +267,9 @@
         if self.may_be_cut(call) {
             return Outcome::Refused(Refusal::Leaving);
         }
-        let chosen = call.origin.map(|origin| origin.service);
-        let Some(service) = chosen.or_else(|| call.route.next_service()) else {
-            return Outcome::Refused(Refusal::NoServer);
+        let service = match self.choose_service(call) {
+            Ok(service) => service,
+            Err(refusal) => return Outcome::Refused(refusal),
         };
         self.count_request(call, service);
         loop {
@@ -296,6 +296,17 @@
         }
     }
 
+    /// The service of the request: the one that the entry chose that passed it on, else the next one of
+    /// the route. That entry may have an older configuration, in which the route had other services.
+    fn choose_service<'a>(&self, call: &Call<'a, B::Upload>) -> Result<&'a name::Service, Refusal> {
+        let Some(origin) = call.origin else {
+            return call.route.next_service().ok_or(Refusal::NoServer);
+        };
+        let mut services = call.route.services.iter();
+        let is_served = services.any(|weighted| weighted.service == *origin.service);
+        if is_served { Ok(origin.service) } else { Err(Refusal::NotReady) }
+    }
+
     /// Selects where the next attempt goes, and counts it. The error is why there is nowhere to go.
     async fn reserve(
         self: &Arc<Self>,
--- a/crates/core/tests/direct_forward.rs
+++ b/crates/core/tests/direct_forward.rs
@@ -281,7 +281,8 @@
     assert_eq!(entry.fleet.server_counts(entry.clock().now()), (5, 6));
 }
 
-/// Guards against attempts beyond the route's limit over both entries, and against an entry that says
+/// Guards against attempts beyond the route's limit over both entries, against a service that the later
+/// configuration of the second entry no longer allows, and against an entry that says
 /// it reaches a service that it has lost contact with, or that says so while it leaves.
 #[tokio::test(start_paused = true)]
 async fn the_second_entry_keeps_the_limits_of_the_first() {
@@ -291,6 +292,10 @@
     let origin = Origin { entry: peer(3), service: &desk[0], max_attempts: 1 };
     let (refused, _) = serve(&entry, "once", true, Some(origin)).await;
     assert_eq!((refused.sends, refused.outcome), (1, Outcome::Refused(Refusal::Attempts)));
+    let other = service("moved");
+    let origin = Origin { entry: peer(3), service: &other, max_attempts: 1 };
+    let (refused, _) = serve(&entry, "old route", true, Some(origin)).await;
+    assert_eq!((refused.sends, refused.outcome), (0, Outcome::Refused(Refusal::NotReady)));
     tokio::time::sleep(ms(400)).await;
     assert_eq!(entry.report_reached(&desk).await.reached.as_slice(), desk);
     tokio::time::sleep(ms(400)).await;
