--- a/crates/core/src/direct/dispatch/forward.rs
+++ b/crates/core/src/direct/dispatch/forward.rs
@@ -40,7 +40,8 @@
 const CONTACT_PROBES: usize = 2;
 
 impl<B: Backend, C: Clock, R: Random> Dispatcher<B, C, R> {
-    /// Selects an entry that reaches `service` if this one has lost contact with it.
+    /// Selects an entry that reaches `service` if this one has lost contact with it, and probes whether
+    /// contact is back.
     pub(super) fn choose_hop(
         self: &Arc<Self>,
         call: &Call<'_, B::Upload>,
