--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -22,6 +22,17 @@
     child: Child,
     pub front: SocketAddr,
     pub readiness: SocketAddr,
+    log: PathBuf,
+}
+
+/// What differs between the starts of entries.
+pub struct Start<'a> {
+    pub number: u8,
+    /// Entries whose addresses are the seeds.
+    pub seeds: &'a [u8],
+    /// Whether the whole system starts for the first time.
+    pub first: bool,
+    pub store: SocketAddr,
 }
 
 /// Ports that are the same on all entries of a site.
@@ -48,18 +59,18 @@
 }
 
 impl Gateway {
-    /// Starts entry number `number` (from 1) of `count`, with its settings and log in `folder`.
-    pub fn start(number: u8, count: u8, ports: &Ports, store: SocketAddr, folder: &str) -> Self {
+    /// Starts an entry, with its settings and log in `folder`.
+    pub fn start(start: &Start<'_>, ports: &Ports, folder: &str) -> Self {
+        let Start { number, first, store, .. } = start;
         let ip = format!("127.0.0.{}", 10 + number);
         let base = ports.base;
-        let seeds: Vec<String> = (1..=count.min(3))
-            .map(|seed| format!(r#""127.0.0.{}:{}""#, 10 + seed, base + 2))
-            .collect();
+        let seed = |number: &u8| format!(r#""127.0.0.{}:{}""#, 10 + number, base + 2);
+        let seeds: Vec<String> = start.seeds.iter().map(seed).collect();
         let settings = format!(
             r#"{{"nodeName":"front-za-{number}","role":"entry","machineClass":"front",
 "serves":["front","directory","control"],"ip":"{ip}","zone":"za","region":"r1","zones":{{"za":"r1"}},
 "listen":{{"front":"{ip}:{}","readiness":"{ip}:{}","control":"{ip}:{}","directory":"{ip}:{}"}},
-"portRange":[{},{}],"seeds":[{}],"bootstrap":true,"countsAsLoss":false,
+"portRange":[{},{}],"seeds":[{}],"bootstrap":{first},"countsAsLoss":false,
 "limits":{{"cpuShare":0.2,"cores":1,"memoryMb":260,"maxFds":4100,"linkMbps":1000.0,"diskMb":0}},
 "dataDir":null,"discovery":"platform","entry":"directory","heartbeat":"1500ms",
 "contracts":["base","drain","config","cost","retry","recover","health","places","platform"],
@@ -95,7 +106,7 @@
             .expect("start the entry");
         note_process(child.id());
         let address = |port: u16| format!("{ip}:{port}").parse().expect("address");
-        Self { child, front: address(base), readiness: address(base + 1) }
+        Self { child, front: address(base), readiness: address(base + 1), log }
     }
 
     /// Waits until the platform's check of the entry succeeds.
@@ -121,6 +132,14 @@
             && matches!(connection.read_head(), Ok(Some(head)) if head.status() == 200)
     }
 
+    /// Whether the entry was the one that reads the store for the others when it last logged about it.
+    pub fn reads_store(&self) -> bool {
+        let text = fs::read(&self.log).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text);
+        let last = text.lines().rfind(|line| line.contains("event=reader reads="));
+        last.is_some_and(|line| line.contains("reads=true"))
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -20,6 +20,7 @@
 use client::Answer;
 use gateway::Gateway;
 use gateway::Ports;
+use gateway::Start;
 use server::LONG_LINES;
 use server::Manner;
 use server::Server;
@@ -33,6 +34,7 @@
 
 /// Bounds of the site, as its settings state them.
 const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
+const DRAIN: Duration = Duration::from_millis(2_000);
 const CONTACT: Duration = Duration::from_millis(3_000);
 const SKEW_MAX: Duration = Duration::from_millis(5_000);
 
@@ -41,6 +43,8 @@
     store: Store,
     servers: Vec<Server>,
     entries: Vec<Gateway>,
+    ports: Ports,
+    folder: String,
 }
 
 impl Site {
@@ -69,10 +73,11 @@
             store.put(&format!("servers/{}", server.name), &server.item(service(index)));
         }
         let ports = Ports::find(entries);
-        let entries: Vec<Gateway> = (1..=entries)
-            .map(|number| Gateway::start(number, entries, &ports, store.address, &folder))
-            .collect();
-        let site = Self { store, servers, entries };
+        let seeds: Vec<u8> = (1..=entries.min(3)).collect();
+        let start = |number| Start { number, seeds: &seeds, first: true, store: store.address };
+        let entries: Vec<Gateway> =
+            (1..=entries).map(|number| Gateway::start(&start(number), &ports, &folder)).collect();
+        let site = Self { store, servers, entries, ports, folder };
         if !site.entries.iter().all(Gateway::wait_until_ready) {
             eprintln!("an entry is not ready; see its log");
             site.end(2);
@@ -273,6 +278,81 @@
     site.end(i32::from(broken > 0))
 }
 
+/// DRAIN: an entry is killed and starts again with stale seeds, one answer of the store to it is late,
+/// and meanwhile a server leaves. Three times, each time with another server.
+fn restart(record: &mut File, trouble: bool) -> ! {
+    let mut site = Site::start(3, &[Manner::Sound; 6]);
+    let mut broken = 0;
+    for leaving in 0..3 {
+        thread::sleep(Duration::from_secs(2));
+        let lines = restart_once(&mut site, leaving, trouble);
+        broken += lines.iter().filter(|line| line.contains("BROKEN")).count();
+        for line in &lines {
+            let _ = writeln!(record, "{line}");
+        }
+    }
+    let _ = writeln!(record, "broken {broken}");
+    site.end(i32::from(broken > 0))
+}
+
+/// Restarts an entry that does not read the store for the others, while the server `leaving` leaves, and
+/// sends requests to it. Returns the lines of the record.
+fn restart_once(site: &mut Site, leaving: usize, trouble: bool) -> Vec<String> {
+    /// The answer is sent once more after a lost packet.
+    const LATE: Duration = Duration::from_millis(350);
+    const NO_ENTRY: u8 = 89;
+    const CLIENTS: usize = 8;
+    let index = site.entries.iter().position(|entry| !entry.reads_store()).unwrap_or(0);
+    let number = u8::try_from(index + 1).expect("few entries");
+    let link = site.store.open_slow_link(if trouble { LATE } else { Duration::ZERO });
+    drop(site.entries.remove(index));
+    thread::sleep(Duration::from_millis(700));
+    let begin = Instant::now();
+    let seeds = if trouble { vec![NO_ENTRY] } else { vec![1, 2, 3] };
+    let start = Start { number, seeds: &seeds, first: false, store: link.address };
+    site.entries.insert(index, Gateway::start(&start, &site.ports, &site.folder));
+    let front = site.entries[index].front;
+    // The store makes up its answer, and then the server leaves.
+    let _ = link.watches.recv_timeout(Duration::from_secs(2));
+    let server = site.servers[leaving].clone();
+    site.store.remove(&format!("servers/{}", server.name));
+    let left = begin.elapsed();
+    thread::sleep(Duration::from_secs(1));
+    let calm = begin.elapsed() + CONTACT;
+    let send_all = |client: usize| {
+        let mut lines = Vec::new();
+        while begin.elapsed() < calm + Duration::from_secs(4) {
+            let id = format!("{leaving:02x}{client:02x}{:012x}", lines.len());
+            let sent = begin.elapsed();
+            let answer = client::send(front, "POST", "/orders/1", &id, DEADLINE, b"an order");
+            let status = answer.map_or(0, |answer| answer.status);
+            let by_left = server.runs(&id) > 0;
+            let breaks = by_left && sent > calm && sent > left + DRAIN;
+            let mark = if breaks { " BROKEN: reached the server that had left" } else { "" };
+            lines.push(format!(
+                "{:6.2} s sent {id} answered {status}, run by the one that left: {by_left}{mark}",
+                sent.as_secs_f64()
+            ));
+            thread::sleep(Duration::from_millis(20));
+        }
+        lines
+    };
+    let mut lines = vec![
+        format!("  0.00 s entry {number} starts again"),
+        format!(
+            "{:6.2} s server {} is removed; it goes on serving",
+            left.as_secs_f64(),
+            server.name
+        ),
+    ];
+    thread::scope(|scope| {
+        let clients: Vec<_> =
+            (0..CLIENTS).map(|client| scope.spawn(move || send_all(client))).collect();
+        lines.extend(clients.into_iter().flat_map(|client| client.join().expect("client")));
+    });
+    lines
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, record] = arguments.as_slice() else {
@@ -288,6 +368,7 @@
     match case.as_str() {
         "fails-late" => fails_late(&mut record, trouble),
         "large-configs" => large_configs(&mut record, trouble),
+        "restart" => restart(&mut record, trouble),
         "reset-answers" => reset_answers(&mut record, trouble),
         _ => exit(2),
     }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -10,6 +10,9 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -57,21 +60,55 @@
     pub address: SocketAddr,
 }
 
+/// A way to the store that delays its answer to the first watch.
+pub struct SlowLink {
+    pub address: SocketAddr,
+    /// Gets a message when the store has made up the answer to a watch, before the answer is delayed.
+    pub watches: Receiver<()>,
+}
+
+/// The store's end of a [`SlowLink`].
+#[derive(Clone)]
+struct Delay {
+    delay: Arc<Mutex<Duration>>,
+    watches: Sender<()>,
+}
+
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind the store");
         let address = listener.local_addr().expect("address of the store");
         let store = Self { shared: Arc::default(), silenced: Arc::default(), address };
         let accepting = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = accepting.clone();
-                thread::spawn(move || store.serve(stream));
-            }
-        });
+        thread::spawn(move || accepting.accept(&listener, None));
         store
     }
 
+    /// Opens a way to the store on which the answer to the first watch takes `delay` longer.
+    pub fn open_slow_link(&self, delay: Duration) -> SlowLink {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind the slow link");
+        let address = listener.local_addr().expect("address of the slow link");
+        let (sender, watches) = mpsc::channel();
+        let delay = Arc::new(Mutex::new(delay));
+        let link = SlowLink { address, watches };
+        let store = self.clone();
+        let delay = Delay { delay, watches: sender };
+        thread::spawn(move || store.accept(&listener, Some(&delay)));
+        link
+    }
+
+    fn accept(&self, listener: &TcpListener, delay: Option<&Delay>) {
+        for stream in listener.incoming().flatten() {
+            let store = self.clone();
+            let delay = delay.cloned();
+            thread::spawn(move || store.serve(stream, delay.as_ref()));
+        }
+    }
+
+    pub fn remove(&self, key: &str) -> u64 {
+        self.change(key, None)
+    }
+
     /// Writes an item, and returns its revision: the store's acknowledgement.
     pub fn put(&self, key: &str, value: &str) -> u64 {
         self.change(key, Some(base64(value.as_bytes())))
@@ -95,7 +132,7 @@
         revision
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, delay: Option<&Delay>) {
         let generation = self.silenced.load(Ordering::SeqCst);
         let is_silent = || self.silenced.load(Ordering::SeqCst) != generation;
         let mut connection = Connection::new(stream);
@@ -109,6 +146,13 @@
                 ("404 Not Found", String::new())
             };
             let (status, body) = answer;
+            if let Some(link) = delay {
+                if target.starts_with("/api/kv-watch?") {
+                    let _ = link.watches.send(());
+                    let time = std::mem::take(&mut *link.delay.lock().expect("delay"));
+                    thread::sleep(time);
+                }
+            }
             while is_silent() {
                 thread::sleep(Duration::from_secs(1));
             }
